--- /dev/null
+++ b/capacity/line.go
@@ -0,0 +1,38 @@
+package main
+
+import "math"
+
+// line is y = base + slope*x; residual is the root of the mean squared distance of the points from it.
+type line struct {
+	base     float64
+	residual float64
+	slope    float64
+}
+
+// fit returns the line of least squares through the points.
+func fit(points series) line {
+	n := float64(len(points))
+	var x, y, xx, xy float64
+	for _, p := range points {
+		x += p.x
+		y += p.y
+		xx += p.x * p.x
+		xy += p.x * p.y
+	}
+	var l line
+	if d := n*xx - x*x; d != 0 {
+		l.slope = (n*xy - x*y) / d
+	}
+	l.base = (y - l.slope*x) / n
+	var squares float64
+	for _, p := range points {
+		squares += (p.y - l.at(p.x)) * (p.y - l.at(p.x))
+	}
+	l.residual = math.Sqrt(squares / n)
+	return l
+}
+
+// at returns the value of the line at x.
+func (l line) at(x float64) float64 {
+	return l.base + l.slope*x
+}
--- /dev/null
+++ b/capacity/main.go
@@ -0,0 +1,47 @@
+package main
+
+import (
+	"bufio"
+	"flag"
+	"fmt"
+	"io"
+	"os"
+)
+
+// designHosts is the size to design for.
+const designHosts = 690
+
+func main() {
+	hosts := flag.Float64("hosts", designHosts, "size for the last column, in the unit of the points")
+	flag.Parse()
+	if err := run(os.Stdin, os.Stdout, *hosts); err != nil {
+		fmt.Fprintln(os.Stderr, "capacity:", err)
+		os.Exit(1)
+	}
+}
+
+// run prints the table of all series with at least two points.
+func run(in io.Reader, out io.Writer, hosts float64) error {
+	all := seriesSet{}
+	lines := bufio.NewScanner(in)
+	for lines.Scan() {
+		all.add(lines.Text())
+	}
+	if err := lines.Err(); err != nil {
+		return err
+	}
+	if _, err := fmt.Fprintf(out, "| series | points | base | slope | residual | at %g |\n|---|---|---|---|---|---|\n", hosts); err != nil {
+		return err
+	}
+	for _, name := range all.names() {
+		s := all[name]
+		if len(s) < 2 {
+			continue
+		}
+		l := fit(s)
+		if _, err := fmt.Fprintf(out, "| %s | %s | %.4g | %.4g | %.2g | %.4g |\n", name, s, l.base, l.slope, l.residual, l.at(hosts)); err != nil {
+			return err
+		}
+	}
+	return nil
+}
--- /dev/null
+++ b/capacity/seriesset.go
@@ -0,0 +1,42 @@
+package main
+
+import (
+	"maps"
+	"regexp"
+	"slices"
+	"strconv"
+	"strings"
+)
+
+// benchmark matches the name of a sub-benchmark whose points belong to one size, such as BenchmarkSteady/hosts=8-10.
+var benchmark = regexp.MustCompile(`^Benchmark(\w+)/hosts=(\d+)(-\d+)?$`)
+
+// seriesSet holds the series by benchmark and unit.
+type seriesSet map[string]series
+
+// add takes over one line of benchmark output; other lines are left out.
+func (s seriesSet) add(text string) {
+	fields := strings.Fields(text)
+	if len(fields) < 4 {
+		return
+	}
+	match := benchmark.FindStringSubmatch(fields[0])
+	if match == nil {
+		return
+	}
+	x, err := strconv.ParseFloat(match[2], 64)
+	if err != nil {
+		return
+	}
+	for i := 2; i+1 < len(fields); i += 2 {
+		y, err := strconv.ParseFloat(fields[i], 64)
+		if unit := fields[i+1]; err == nil && unit != "ns/op" {
+			name := match[1] + " " + unit
+			s[name] = append(s[name], point{x: x, y: y})
+		}
+	}
+}
+
+func (s seriesSet) names() []string {
+	return slices.Sorted(maps.Keys(s))
+}
--- /dev/null
+++ b/core/codes/doc.go
@@ -0,0 +1,2 @@
+// Package codes numbers the results that callers, operators and process managers see.
+package codes
--- /dev/null
+++ b/core/config/check.go
@@ -0,0 +1,259 @@
+package config
+
+import (
+	"fmt"
+	"maps"
+	"net/netip"
+	"regexp"
+	"slices"
+
+	"ebonyrouter.dev/core"
+)
+
+// Ranges of the numbers outside policies.
+const (
+	maxBlockParts    = 4096
+	maxConnections   = 65_535
+	maxMbitPerSecond = 10_000_000
+	maxOneWayMs      = 60_000
+	maxRequests      = 10_000_000
+	maxSlots         = 65_535
+)
+
+var (
+	// Names form keys and paths, so they contain neither slashes nor dots.
+	namePattern     = regexp.MustCompile(`^[a-z0-9]([a-z0-9_-]{0,62})$`)
+	hostNamePattern = regexp.MustCompile(`^[a-z0-9]([a-z0-9.-]{0,252})$`)
+)
+
+// checker holds what the checks of one tree share.
+type checker struct {
+	*ProblemsError
+	regions  map[string]bool
+	settings *core.Settings
+	zones    map[string]string
+}
+
+// check adds every problem of the decoded tree.
+func check(settings *core.Settings, problems *ProblemsError) {
+	c := &checker{ProblemsError: problems, regions: map[string]bool{}, settings: settings, zones: map[string]string{}}
+	c.name("deployment", settings.Deployment)
+	c.policy("policy", settings.Policy)
+	if len(settings.Regions) == 0 {
+		c.add("regions", "at least one region is needed")
+	}
+	for _, region := range slices.Sorted(maps.Keys(settings.Regions)) {
+		c.region(region)
+	}
+	if r := settings.StoreRegion; r != "" && !c.regions[r] {
+		c.add("store_region", "unknown region %q", r)
+	}
+	c.services()
+	links := c.links()
+	c.shifts(links)
+	c.drains()
+	c.blocks()
+}
+
+func (c *checker) address(path, address string, used map[string]string) {
+	parsed, err := netip.ParseAddrPort(address)
+	switch {
+	case err != nil, parsed.Port() == 0, parsed.Addr().IsUnspecified():
+		c.add(path, "%q is not an IP address with port", address)
+		return
+	case used[parsed.String()] != "":
+		c.add(path, "%q is already used at %s", address, used[parsed.String()])
+	}
+	used[parsed.String()] = path
+}
+
+func (c *checker) blocks() {
+	b := c.settings.Blocks
+	c.inRange("blocks.parts", int64(b.Parts), 0, maxBlockParts)
+	if (b.Parts > 0) != (b.Version != "") {
+		c.add("blocks.version", "version and parts must be given together")
+	}
+	if b.Version != "" {
+		c.name("blocks.version", b.Version)
+	}
+}
+
+func (c *checker) drains() {
+	d := c.settings.Drains
+	c.unique("drains.gone", d.Gone, func(path, host string) { c.name(path, host) })
+	c.unique("drains.hosts", d.Hosts, func(path, host string) { c.name(path, host) })
+	c.unique("drains.zones", d.Zones, func(path, zone string) {
+		if c.zones[zone] == "" {
+			c.add(path, "unknown availability zone %q", zone)
+		}
+	})
+	known := map[string]bool{}
+	for service, s := range c.settings.Services {
+		for target := range s.Targets {
+			known[service+"/"+target] = true
+		}
+	}
+	c.unique("drains.targets", d.Targets, func(path, target string) {
+		if !known[target] {
+			c.add(path, "unknown target %q, must be service/target", target)
+		}
+	})
+}
+
+func (c *checker) inRange(path string, value, low, high int64) {
+	if value < low || value > high {
+		c.add(path, "%d is not between %d and %d", value, low, high)
+	}
+}
+
+func (c *checker) links() map[string]bool {
+	links := map[string]bool{}
+	for i, l := range c.settings.Links {
+		path := fmt.Sprintf("links[%d]", i)
+		c.pair(path, l.From, l.To)
+		c.inRange(path+".mbit_per_second", l.MbitPerSecond, 1, maxMbitPerSecond)
+		c.inRange(path+".one_way_ms", l.OneWayMs, 0, maxOneWayMs)
+		key := linkKey(l.From, l.To)
+		if links[key] {
+			c.add(path, "a link from %q to %q occurs more than once", l.From, l.To)
+		}
+		links[key] = true
+	}
+	return links
+}
+
+func (c *checker) name(path, name string) {
+	if !namePattern.MatchString(name) {
+		c.add(path, "%q is not a name of lower-case letters, digits, - and _", name)
+	}
+}
+
+func (c *checker) overrides(path string, services map[string]core.Policy) {
+	for _, service := range slices.Sorted(maps.Keys(services)) {
+		if _, found := c.settings.Services[service]; !found {
+			c.add(path+"."+service, "unknown service %q", service)
+		}
+		c.policy(path+"."+service, services[service])
+	}
+}
+
+// pair checks the two ends of a link or a shift.
+func (c *checker) pair(path, from, to string) {
+	if !c.regions[from] {
+		c.add(path+".from", "unknown region %q", from)
+	}
+	if !c.regions[to] {
+		c.add(path+".to", "unknown region %q", to)
+	}
+	if from == to {
+		c.add(path+".to", "must differ from from")
+	}
+}
+
+func (c *checker) policy(path string, policy core.Policy) {
+	for _, f := range fields {
+		if value := f.from(&policy); value != nil {
+			c.inRange(path+"."+f.name, *value, f.min, f.max)
+		}
+	}
+}
+
+func (c *checker) region(name string) {
+	path := "regions." + name
+	region := c.settings.Regions[name]
+	c.regions[name] = true
+	c.name(path, name)
+	c.policy(path+".policy", region.Policy)
+	c.overrides(path+".services", region.Services)
+	if len(region.Zones) == 0 {
+		c.add(path+".zones", "at least one availability zone is needed")
+	}
+	for _, zone := range slices.Sorted(maps.Keys(region.Zones)) {
+		zonePath := path + ".zones." + zone
+		c.name(zonePath, zone)
+		if other := c.zones[zone]; other != "" {
+			c.add(zonePath, "the availability zone is already in region %q", other)
+		}
+		c.zones[zone] = name
+		c.policy(zonePath+".policy", region.Zones[zone].Policy)
+		c.overrides(zonePath+".services", region.Zones[zone].Services)
+	}
+}
+
+func (c *checker) services() {
+	addresses := map[string]string{}
+	hostNames := map[string]string{}
+	for _, name := range slices.Sorted(maps.Keys(c.settings.Services)) {
+		path := "services." + name
+		service := c.settings.Services[name]
+		c.name(path, name)
+		c.policy(path+".policy", service.Policy)
+		for i, hostName := range service.HostNames {
+			hostPath := fmt.Sprintf("%s.host_names[%d]", path, i)
+			if !hostNamePattern.MatchString(hostName) {
+				c.add(hostPath, "%q is not a lower-case host name", hostName)
+			}
+			if other := hostNames[hostName]; other != "" {
+				c.add(hostPath, "%q is already used at %s", hostName, other)
+			}
+			hostNames[hostName] = hostPath
+		}
+		for _, target := range slices.Sorted(maps.Keys(service.Targets)) {
+			c.target(path+".targets."+target, target, service.Targets[target], addresses)
+		}
+	}
+}
+
+func (c *checker) shifts(links map[string]bool) {
+	percents := map[string]int64{}
+	seen := map[string]bool{}
+	for i, s := range c.settings.Shifts {
+		path := fmt.Sprintf("shifts[%d]", i)
+		c.pair(path, s.From, s.To)
+		if _, found := c.settings.Services[s.Service]; !found {
+			c.add(path+".service", "unknown service %q", s.Service)
+		}
+		c.inRange(path+".requests_per_second", s.RequestsPerSecond, 0, maxRequests)
+		c.inRange(path+".percent", s.Percent, 0, maxPercent)
+		if !links[linkKey(s.From, s.To)] {
+			c.add(path, "no link from %q to %q", s.From, s.To)
+		}
+		key := core.ShiftObject(s.Service, s.From, s.To)
+		if seen[key] {
+			c.add(path, "a shift of %q from %q to %q occurs more than once", s.Service, s.From, s.To)
+		}
+		seen[key] = true
+		sum := core.ShiftObject(s.Service, s.From, "")
+		percents[sum] += min(max(s.Percent, 0), maxPercent)
+		if percents[sum] > maxPercent {
+			c.add(path+".percent", "the percents of %q from %q add up to %d, more than %d", s.Service, s.From, percents[sum], maxPercent)
+		}
+	}
+}
+
+func (c *checker) target(path, name string, target core.TargetSettings, addresses map[string]string) {
+	c.name(path, name)
+	c.address(path+".address", target.Address, addresses)
+	c.inRange(path+".connections", int64(target.Connections), 1, maxConnections)
+	c.inRange(path+".slots", int64(target.Slots), 1, maxSlots)
+	if c.zones[target.Zone] == "" {
+		c.add(path+".zone", "unknown availability zone %q", target.Zone)
+	}
+}
+
+func (c *checker) unique(path string, names []string, checkName func(path, name string)) {
+	seen := map[string]bool{}
+	for i, name := range names {
+		item := fmt.Sprintf("%s[%d]", path, i)
+		checkName(item, name)
+		if seen[name] {
+			c.add(item, "%q occurs more than once", name)
+		}
+		seen[name] = true
+	}
+}
+
+// linkKey identifies the link from one region to another.
+func linkKey(from, to string) string {
+	return from + "/" + to
+}
--- /dev/null
+++ b/core/config/compile.go
@@ -0,0 +1,52 @@
+package config
+
+import (
+	"crypto/sha256"
+	"encoding/hex"
+
+	"github.com/juju/errors"
+
+	"ebonyrouter.dev/core"
+)
+
+// ErrDigest means that the content of a revision does not have the digest that its head names.
+const ErrDigest = errors.ConstError("settings content does not match its digest")
+
+// Compile checks the digest of an update, decodes its content and resolves the policies.
+func Compile(update core.SettingsUpdate) (*core.Snapshot, error) {
+	if digest := Digest(update.Content); digest != update.Head.Digest {
+		return nil, errors.Annotatef(ErrDigest, "revision %d: got %s, want %s", update.Head.Revision, digest, update.Head.Digest)
+	}
+	settings, err := Decode(update.Content)
+	if err != nil {
+		return nil, errors.Annotatef(err, "revision %d", update.Head.Revision)
+	}
+	s := &core.Snapshot{
+		Head:      update.Head,
+		Settings:  settings,
+		Policies:  map[string]map[string]core.EffectivePolicy{},
+		RegionOf:  map[string]string{},
+		ServiceOf: map[string]string{},
+	}
+	for region, r := range settings.Regions {
+		for zone := range r.Zones {
+			s.RegionOf[zone] = region
+		}
+	}
+	for service, v := range settings.Services {
+		s.Policies[service] = map[string]core.EffectivePolicy{}
+		for zone, region := range s.RegionOf {
+			s.Policies[service][zone] = effective(&settings, service, region, zone)
+		}
+		for _, hostName := range v.HostNames {
+			s.ServiceOf[hostName] = service
+		}
+	}
+	return s, nil
+}
+
+// Digest returns the hexadecimal SHA-256 of content.
+func Digest(content []byte) string {
+	sum := sha256.Sum256(content)
+	return hex.EncodeToString(sum[:])
+}
--- /dev/null
+++ b/core/config/diff.go
@@ -0,0 +1,90 @@
+package config
+
+import (
+	"encoding/json"
+	"fmt"
+	"maps"
+	"slices"
+	"strings"
+
+	"github.com/juju/errors"
+
+	"ebonyrouter.dev/core"
+)
+
+// Diff returns the values that differ between two trees, ordered by path; links, shifts and drains are named
+// by what they connect instead of their position.
+func Diff(old, changed core.Settings) ([]Difference, error) {
+	before, err := flatten(old)
+	if err != nil {
+		return nil, err
+	}
+	after, err := flatten(changed)
+	if err != nil {
+		return nil, err
+	}
+	paths := map[string]bool{}
+	for path := range before {
+		paths[path] = true
+	}
+	for path := range after {
+		paths[path] = true
+	}
+	var differences []Difference
+	for _, path := range slices.Sorted(maps.Keys(paths)) {
+		if before[path] != after[path] {
+			differences = append(differences, Difference{Path: path, Old: before[path], New: after[path]})
+		}
+	}
+	return differences, nil
+}
+
+// flatten returns the JSON of each leaf of the tree by its path.
+func flatten(settings core.Settings) (map[string]string, error) {
+	content, err := json.Marshal(settings)
+	if err != nil {
+		return nil, errors.Annotate(err, "encode settings")
+	}
+	var tree any
+	if err := json.Unmarshal(content, &tree); err != nil {
+		return nil, errors.Annotate(err, "decode settings")
+	}
+	leaves := map[string]string{}
+	flattenValue(leaves, "", tree)
+	return leaves, nil
+}
+
+func flattenValue(leaves map[string]string, path string, value any) {
+	switch v := value.(type) {
+	case map[string]any:
+		if len(v) == 0 && path != "" {
+			leaves[path] = "{}"
+		}
+		for name, member := range v {
+			flattenValue(leaves, join(path, name), member)
+		}
+	case []any:
+		for _, item := range v {
+			flattenValue(leaves, path+"["+identity(item)+"]", item)
+		}
+	case float64:
+		leaves[path] = fmt.Sprintf("%.0f", v)
+	default:
+		leaves[path] = fmt.Sprintf("%q", fmt.Sprint(v))
+	}
+}
+
+// identity returns what an item of a list is called in paths.
+func identity(item any) string {
+	members, isObject := item.(map[string]any)
+	if !isObject {
+		return fmt.Sprint(item)
+	}
+	var parts []string
+	for _, name := range []string{"service", "from", "to"} {
+		if part, found := members[name]; found {
+			parts = append(parts, fmt.Sprint(part))
+		}
+	}
+	return strings.Join(parts, "/")
+}
--- /dev/null
+++ b/core/config/shape.go
@@ -0,0 +1,174 @@
+package config
+
+import (
+	"encoding/json"
+	"fmt"
+	"reflect"
+	"strconv"
+	"strings"
+)
+
+// shape compares JSON text with a Go type and reports unknown names, duplicate names and wrong types.
+type shape struct {
+	decoder  *json.Decoder
+	problems *ProblemsError
+}
+
+// items checks the values of an array up to its closing bracket.
+func (s *shape) items(path string, element reflect.Type) error {
+	for i := 0; s.decoder.More(); i++ {
+		if err := s.value(path+"["+strconv.Itoa(i)+"]", element); err != nil {
+			return err
+		}
+	}
+	_, err := s.decoder.Token()
+	return err
+}
+
+// members checks the members of an object up to its closing brace.
+func (s *shape) members(path string, t reflect.Type) error {
+	seen := map[string]bool{}
+	for s.decoder.More() {
+		token, err := s.decoder.Token()
+		if err != nil {
+			return err
+		}
+		name := fmt.Sprint(token)
+		member := join(path, name)
+		if seen[name] {
+			s.problems.add(member, "the name occurs more than once")
+		}
+		seen[name] = true
+		valueType, known := memberType(t, name)
+		if !known {
+			s.problems.add(member, "unknown name")
+			if err := s.skip(); err != nil {
+				return err
+			}
+			continue
+		}
+		if err := s.value(member, valueType); err != nil {
+			return err
+		}
+	}
+	_, err := s.decoder.Token()
+	return err
+}
+
+// skip consumes one value.
+func (s *shape) skip() error {
+	depth := 0
+	for {
+		token, err := s.decoder.Token()
+		if err != nil {
+			return err
+		}
+		switch token {
+		case json.Delim('{'), json.Delim('['):
+			depth++
+		case json.Delim('}'), json.Delim(']'):
+			depth--
+		}
+		if depth == 0 {
+			return nil
+		}
+	}
+}
+
+// value checks one value against t.
+func (s *shape) value(path string, t reflect.Type) error {
+	if t.Kind() == reflect.Pointer {
+		t = t.Elem()
+	}
+	var raw json.RawMessage
+	switch t.Kind() {
+	case reflect.Struct, reflect.Map, reflect.Slice:
+		return s.composite(path, t)
+	default:
+		if err := s.decoder.Decode(&raw); err != nil {
+			return err
+		}
+	}
+	switch t.Kind() {
+	case reflect.String:
+		if raw[0] != '"' {
+			s.problems.add(path, "must be a string, not %s", kindOf(raw[0]))
+		}
+	default:
+		if _, err := strconv.ParseInt(string(raw), 10, 64); err != nil {
+			s.problems.add(path, "must be a whole number, not %s", kindOf(raw[0]))
+		}
+	}
+	return nil
+}
+
+func (s *shape) composite(path string, t reflect.Type) error {
+	token, err := s.decoder.Token()
+	if err != nil {
+		return err
+	}
+	want, name := json.Delim('{'), "an object"
+	if t.Kind() == reflect.Slice {
+		want, name = json.Delim('['), "an array"
+	}
+	delim, isDelim := token.(json.Delim)
+	switch {
+	case !isDelim:
+		s.problems.add(path, "must be %s", name)
+		return nil
+	case delim != want:
+		s.problems.add(path, "must be %s", name)
+		return s.closeSkipped()
+	case t.Kind() == reflect.Slice:
+		return s.items(path, t.Elem())
+	}
+	return s.members(path, t)
+}
+
+// closeSkipped consumes the rest of an object or array whose opening token was already read.
+func (s *shape) closeSkipped() error {
+	for s.decoder.More() {
+		if err := s.skip(); err != nil {
+			return err
+		}
+	}
+	_, err := s.decoder.Token()
+	return err
+}
+
+func join(path, name string) string {
+	if path == "" {
+		return name
+	}
+	return path + "." + name
+}
+
+func kindOf(first byte) string {
+	switch first {
+	case '"':
+		return "a string"
+	case '{':
+		return "an object"
+	case '[':
+		return "an array"
+	case 't', 'f':
+		return "a truth value"
+	case 'n':
+		return "null"
+	}
+	return "a fraction or a larger one"
+}
+
+// memberType returns the type of the member name of an object of type t.
+func memberType(t reflect.Type, name string) (reflect.Type, bool) {
+	if t.Kind() == reflect.Map {
+		return t.Elem(), true
+	}
+	for i := range t.NumField() {
+		field := t.Field(i)
+		if tag, _, _ := strings.Cut(field.Tag.Get("json"), ","); tag == name {
+			return field.Type, true
+		}
+	}
+	return nil, false
+}
--- /dev/null
+++ b/core/entry_status.go
@@ -0,0 +1,12 @@
+package core
+
+// EntryStatus is what an entry process reports to the steer of its host.
+type EntryStatus struct {
+	Epoch        int64          `json:"epoch" msgpack:"epoch"`
+	InFlight     int            `json:"in_flight" msgpack:"in_flight"`
+	InUse        map[string]int `json:"in_use" msgpack:"in_use"`
+	LeaseMs      int64          `json:"lease_ms" msgpack:"lease_ms"`
+	Owned        []string       `json:"owned" msgpack:"owned"`
+	Registration Host           `json:"registration" msgpack:"registration"`
+	Revision     int64          `json:"revision" msgpack:"revision"`
+}
--- /dev/null
+++ b/core/event/lease.go
@@ -0,0 +1,19 @@
+package event
+
+import "go.uber.org/zap/zapcore"
+
+// Events of leases and ownership (400 to 499).
+var (
+	LeaseJoined      = Info{400, zapcore.InfoLevel, "joined the ownership document", "The entry process is a member of its region and may own objects."}
+	LeaseRevoked     = Info{401, zapcore.WarnLevel, "lease revoked", "The grantors removed this process from the ownership document; it joins again under a new incarnation."}
+	LeaseTakeover    = Info{402, zapcore.InfoLevel, "waiting to use a revoked object", "The previous owner did not release the object; it is used after the stated wait."}
+	LeaseWithdrawn   = Info{403, zapcore.WarnLevel, "withdrew from a grantee", "The grantee was silent or was replaced; once enough grantors have withdrawn, its lease is revoked."}
+	LeaseChanged     = Info{405, zapcore.InfoLevel, "ownership document changed", "This steer wrote a new epoch; the fields say why."}
+	LeaseWriteFailed = Info{406, zapcore.WarnLevel, "ownership document not changed", "The store refused the write or its answer was lost; the change is tried again."}
+	LeaseEvicted     = Info{407, zapcore.WarnLevel, "members removed without their grantors", "The grantors of an older incarnation were replaced or there were none, or an operator said that the hosts are gone."}
+	LeaseGrantors    = Info{408, zapcore.InfoLevel, "changing grantors", "A grantor is gone or has withdrawn, or better ones exist; the old ones do not count until the change is decided."}
+)
+
+var leaseTable = []Info{
+	LeaseJoined, LeaseRevoked, LeaseTakeover, LeaseWithdrawn, LeaseChanged, LeaseWriteFailed, LeaseEvicted, LeaseGrantors,
+}
--- /dev/null
+++ b/core/event/request.go
@@ -0,0 +1,17 @@
+package event
+
+import "go.uber.org/zap/zapcore"
+
+// Events of the request path (600 to 699).
+var (
+	RequestTruncated   = Info{600, zapcore.WarnLevel, "upstream response ended early", "The caller's connection was closed so that the partial response cannot pass as complete."}
+	RequestUnanswered  = Info{601, zapcore.WarnLevel, "upstream did not answer within the try timeout", "Older connections to the target are suspect and are closed when idle."}
+	RequestRefused     = Info{602, zapcore.WarnLevel, "no connection to the upstream", "No byte of the request was sent; another target or host is tried."}
+	RequestLeaseEnded  = Info{603, zapcore.WarnLevel, "lease ended before the request was written", "The request was not sent; another host is tried."}
+	RequestNotRecorded = Info{604, zapcore.ErrorLevel, "outcome of a keyed request was not recorded", "A retry of the key is told that the request may have run."}
+	RequestBroken      = Info{605, zapcore.WarnLevel, "connection to the upstream failed before the response", "The request may have run; only idempotent requests are tried again."}
+)
+
+var requestTable = []Info{
+	RequestTruncated, RequestUnanswered, RequestRefused, RequestLeaseEnded, RequestNotRecorded, RequestBroken,
+}
--- /dev/null
+++ b/core/fanout/keeper_test.go
@@ -0,0 +1,151 @@
+package fanout_test
+
+import (
+	"bytes"
+	"context"
+	"testing"
+	"time"
+
+	"github.com/juju/errors"
+	"go.uber.org/goleak"
+	"go.uber.org/zap"
+	"gotest.tools/v3/assert"
+
+	"ebonyrouter.dev/core"
+	"ebonyrouter.dev/core/fanout"
+	"ebonyrouter.dev/core/links"
+	"ebonyrouter.dev/core/pubsub"
+	"ebonyrouter.dev/core/timer"
+)
+
+// spreadLimit is the stated time for a change to be in force everywhere at today's sizes.
+const spreadLimit = 2 * time.Second
+
+func TestMain(m *testing.M) {
+	goleak.VerifyTestMain(m)
+}
+
+// node is one process that keeps documents.
+type node struct {
+	audience []string
+	keeper   *fanout.Keeper
+	// dependent makes ownership documents wait for the settings.
+	dependent bool
+	links     *links.Manager
+	rejected  string
+	sources   []string
+}
+
+// newNode starts a process; documents with the content in n.rejected do not pass its check.
+func newNode(t *testing.T, n *node) *node {
+	t.Helper()
+	clock, err := timer.NewSystem()
+	assert.NilError(t, err)
+	n.links, err = links.New(clock, zap.NewNop(), links.WithListen("127.0.0.1:0"))
+	assert.NilError(t, err)
+	messages, err := pubsub.NewMessenger(n.links)
+	assert.NilError(t, err)
+	n.keeper = fanout.New(n.links, messages, clock, zap.NewNop(),
+		fanout.WithAudience(func() []string { return n.audience }),
+		fanout.WithCheck("settings", func(d core.Document) error {
+			if n.rejected != "" && string(d.Content) == n.rejected {
+				return errors.NotValidf("content")
+			}
+			return nil
+		}),
+		fanout.WithCheck(core.KeyOwnershipPrefix, func(core.Document) error {
+			if _, ok := n.keeper.Document(core.DocumentSettings); n.dependent && !ok {
+				return errors.NotYetAvailablef("settings")
+			}
+			return nil
+		}),
+		fanout.WithSources(func() []string { return n.sources }),
+		fanout.WithSyncInterval(200*time.Millisecond),
+	)
+	ctx, cancel := context.WithCancel(context.Background())
+	done := make(chan struct{}, 2)
+	go func() {
+		_ = messages.Run(ctx)
+		done <- struct{}{}
+	}()
+	go func() {
+		n.keeper.Run(ctx)
+		done <- struct{}{}
+	}()
+	t.Cleanup(func() {
+		cancel()
+		<-done
+		<-done
+		assert.NilError(t, n.links.Close())
+	})
+	return n
+}
+
+func (n *node) offer(t *testing.T, version int64, content string) bool {
+	t.Helper()
+	accepted, err := n.keeper.Offer(core.Document{Content: []byte(content), Name: core.DocumentSettings, Version: version})
+	assert.NilError(t, err)
+	return accepted
+}
+
+// await waits until the node holds a version.
+func (n *node) await(t *testing.T, version int64) core.Document {
+	t.Helper()
+	for started := time.Now(); time.Since(started) < spreadLimit; time.Sleep(time.Millisecond) {
+		if d, _ := n.keeper.Document(core.DocumentSettings); d.Version >= version {
+			return d
+		}
+	}
+	t.Fatalf("version %d is not held after %v", version, spreadLimit)
+	return core.Document{}
+}
+
+// Guards against a change that does not reach the audience, also when it takes several replies, and against a revert.
+func TestNoticeAndPull(t *testing.T) {
+	host := newNode(t, &node{})
+	relay := newNode(t, &node{audience: []string{host.links.Address()}})
+	relay.links.Connect(host.links.Address())
+	host.links.Connect(relay.links.Address())
+	large := bytes.Repeat([]byte("x"), core.DocumentChunkBytes+1)
+	for !relay.links.Alive(host.links.Address()) || !host.links.Alive(relay.links.Address()) {
+		time.Sleep(time.Millisecond)
+	}
+	assert.Assert(t, relay.offer(t, 2, string(large)))
+	assert.Assert(t, bytes.Equal(host.await(t, 2).Content, large))
+	assert.Assert(t, !host.offer(t, 1, "old"), "a lower version was accepted")
+	assert.Assert(t, !host.offer(t, 2, "other"), "the same version was accepted twice")
+	assert.Equal(t, len(host.await(t, 2).Content), len(large))
+}
+
+// Guards against a host that stays behind after a lost notice, and against one that follows an invalid document.
+func TestSyncRepairs(t *testing.T) {
+	relay := newNode(t, &node{})
+	host := newNode(t, &node{rejected: "bad", sources: []string{relay.links.Address()}})
+	host.links.Connect(relay.links.Address())
+	relay.offer(t, 1, "good")
+	host.await(t, 1)
+	relay.offer(t, 2, "bad")
+	time.Sleep(time.Second)
+	assert.Equal(t, string(host.await(t, 1).Content), "good")
+	relay.offer(t, 3, "better")
+	assert.Equal(t, string(host.await(t, 3).Content), "better")
+}
+
+// Guards against a process that never gets its settings: it missed their notice, and the exchange of versions ended at
+// the ownership document, whose name comes first and which cannot be checked without settings.
+func TestSyncOfDependentDocuments(t *testing.T) {
+	steer := newNode(t, &node{})
+	steer.offer(t, 1, "settings")
+	ownership := core.Document{Content: []byte("members"), Name: core.KeyOwnershipPrefix + "north", Version: 7}
+	_, err := steer.keeper.Offer(ownership)
+	assert.NilError(t, err)
+	entry := newNode(t, &node{dependent: true})
+	entry.links.Connect(steer.links.Address())
+	for !entry.links.Alive(steer.links.Address()) {
+		time.Sleep(time.Millisecond)
+	}
+	assert.NilError(t, entry.keeper.Sync(t.Context(), steer.links.Address()))
+	assert.Equal(t, string(entry.await(t, 1).Content), "settings")
+	held, _ := entry.keeper.Document(ownership.Name)
+	assert.Equal(t, held.Version, ownership.Version)
+}
--- /dev/null
+++ b/core/fanout/pack_test.go
@@ -0,0 +1,235 @@
+package fanout
+
+import (
+	"bytes"
+	"context"
+	cryptorand "crypto/rand"
+	"encoding/json"
+	"fmt"
+	"math/rand/v2"
+	"testing"
+
+	"go.uber.org/zap"
+	"gotest.tools/v3/assert"
+
+	"ebonyrouter.dev/core"
+	"ebonyrouter.dev/core/timer"
+)
+
+// wired is the links of a keeper whose requests all reach one peer.
+type wired struct {
+	core.Links
+	bytes    int
+	handlers map[string]core.RequestHandler
+	peer     *wired
+}
+
+func (w *wired) HandleRequest(topic string, h core.RequestHandler) { w.handlers[topic] = h }
+
+func (w *wired) Request(ctx context.Context, _, topic string, payload []byte) ([]byte, error) {
+	reply, err := w.peer.handlers[topic](ctx, "", payload)
+	w.bytes += len(reply)
+	return reply, err
+}
+
+// mute is a messenger that no message passes.
+type mute struct{ core.Messenger }
+
+func (mute) HandleMessage(string, core.MessageHandler) {}
+
+func (mute) Send(string, string, []byte) error { return nil }
+
+// Guards against documents that arrive changed or incomplete, and against repetitive ones that are sent in full.
+func TestTransfer(t *testing.T) {
+	random := make([]byte, 3*core.DocumentChunkBytes)
+	for i := range random {
+		random[i] = byte(rand.Uint32())
+	}
+	for name, tc := range map[string]struct {
+		content []byte
+		limit   int
+	}{
+		"empty":         {nil, 500},
+		"many chunks":   {random, len(random) + 2000},
+		"settings tree": {targets(2760), len(targets(2760)) / 5},
+	} {
+		t.Run(name, func(t *testing.T) {
+			source := &wired{handlers: map[string]core.RequestHandler{}}
+			links := &wired{handlers: map[string]core.RequestHandler{}, peer: source}
+			from := New(source, mute{}, timer.NewManual(), zap.NewNop())
+			to := New(links, mute{}, timer.NewManual(), zap.NewNop())
+			_, err := from.Offer(core.Document{Content: tc.content, Name: "x", Version: 3})
+			assert.NilError(t, err)
+			assert.NilError(t, to.Sync(t.Context(), "peer"))
+			d, _ := to.Document("x")
+			assert.Equal(t, d.Version, int64(3))
+			assert.Assert(t, bytes.Equal(d.Content, tc.content))
+			assert.Assert(t, links.bytes <= tc.limit, "%d bytes for %d", links.bytes, len(tc.content))
+		})
+	}
+}
+
+// Guards against changes that lead to another content than that of the peer, against bases of another version or
+// content that are patched, and against small changes that are sent as a whole document.
+func TestChanges(t *testing.T) {
+	content := targets(1000)
+	edit := func(n int) []byte { return bytes.Replace(content, []byte("00-a"), fmt.Appendf(nil, "%02d-b", n), n) }
+	for name, tc := range map[string]struct {
+		held    int64
+		content []byte
+		limit   int
+	}{
+		"one behind":       {4, edit(4), 1000},
+		"some behind":      {2, edit(2), 2000},
+		"too far behind":   {1, edit(1), len(content)},
+		"other base":       {4, edit(7), len(content)},
+		"empty base":       {4, nil, len(content)},
+		"nothing is known": {0, nil, len(content)},
+	} {
+		t.Run(name, func(t *testing.T) {
+			source := &wired{handlers: map[string]core.RequestHandler{}}
+			links := &wired{handlers: map[string]core.RequestHandler{}, peer: source}
+			from := New(source, mute{}, timer.NewManual(), zap.NewNop())
+			to := New(links, mute{}, timer.NewManual(), zap.NewNop())
+			for _, version := range []int64{2, 3, 4, 5} {
+				_, err := from.Offer(core.Document{Content: edit(int(version)), Name: "x", Version: version})
+				assert.NilError(t, err)
+			}
+			if tc.held > 0 {
+				_, err := to.Offer(core.Document{Content: tc.content, Name: "x", Version: tc.held})
+				assert.NilError(t, err)
+			}
+			assert.NilError(t, to.Sync(t.Context(), "peer"))
+			d, _ := to.Document("x")
+			assert.Equal(t, d.Version, int64(5))
+			assert.Assert(t, bytes.Equal(d.Content, edit(5)))
+			assert.Assert(t, links.bytes <= tc.limit, "%d bytes", links.bytes)
+		})
+	}
+}
+
+// Guards against an exchange of versions that tells a host with a missing or older document nothing, and against lists of
+// versions that the requester holds already; a requester without a checksum gets them all.
+func TestSyncComparesFirst(t *testing.T) {
+	const limit = 20
+	for name, tc := range map[string]struct {
+		held map[string]int64
+		want bool
+	}{
+		"the same": {map[string]int64{"ownership/r0": 3, "ownership/r1": 5}, false},
+		"older":    {map[string]int64{"ownership/r0": 3, "ownership/r1": 4}, true},
+		"missing":  {map[string]int64{"ownership/r0": 3}, true},
+		"more":     {map[string]int64{"ownership/r0": 3, "ownership/r1": 5, "settings": 1}, true},
+		"nothing":  {nil, true},
+	} {
+		t.Run(name, func(t *testing.T) {
+			source := &wired{handlers: map[string]core.RequestHandler{}}
+			links := &wired{handlers: map[string]core.RequestHandler{}, peer: source}
+			from := New(source, mute{}, timer.NewManual(), zap.NewNop())
+			to := New(links, mute{}, timer.NewManual(), zap.NewNop())
+			offer := func(k *Keeper, versions map[string]int64) {
+				for name, version := range versions {
+					_, err := k.Offer(core.Document{Content: []byte("x"), Name: name, Version: version})
+					assert.NilError(t, err)
+				}
+			}
+			offer(from, map[string]int64{"ownership/r0": 3, "ownership/r1": 5})
+			offer(to, tc.held)
+			assert.NilError(t, to.Sync(t.Context(), "peer"))
+			assert.Equal(t, links.bytes > limit, tc.want, "%d bytes", links.bytes)
+			d, _ := to.Document("ownership/r1")
+			assert.Equal(t, d.Version, int64(5))
+			all, err := from.handleSync(t.Context(), "", nil)
+			assert.NilError(t, err)
+			assert.Assert(t, len(all) > limit)
+		})
+	}
+}
+
+// FuzzPatch guards against patches that do not lead to the new content, and against damaged ones that crash the receiver.
+func FuzzPatch(f *testing.F) {
+	f.Add([]byte("abc"), []byte("abd"))
+	f.Add(targets(3), targets(4))
+	f.Fuzz(func(t *testing.T, old, next []byte) {
+		got, err := apply(old, diff(old, next))
+		assert.NilError(t, err)
+		assert.Assert(t, bytes.Equal(got, next))
+		_, _ = apply(old, next)
+	})
+}
+
+// Guards against a document that fills the memory of its receiver.
+func TestUnpackIsBounded(t *testing.T) {
+	data, err := pack(make([]byte, core.MaxDocumentBytes+1))
+	assert.NilError(t, err)
+	_, err = unpack(data)
+	assert.ErrorContains(t, err, "more than")
+}
+
+// BenchmarkChange reports the time to compute and to apply the change of one member of an ownership document of the
+// design size, and the bytes of the reply with and without it.
+func BenchmarkChange(b *testing.B) {
+	document := core.Ownership{Epoch: 1000, Members: map[string]core.Member{}, Objects: map[string]core.ObjectOwner{}, Region: "r0"}
+	for i := range 138 {
+		m := core.Member{GrantorsFrom: 900, Host: fmt.Sprintf("r0-z0-%03d", i), Incarnation: cryptorand.Text()}
+		for g := range core.MaxGrantors {
+			m.Grantors = append(m.Grantors, core.GrantorRef{Host: fmt.Sprintf("r0-z1-%03d", i+g), Incarnation: cryptorand.Text()})
+		}
+		document.Members[m.Host] = m
+		for n := range 4 {
+			document.Objects[core.TargetObject("bookings", fmt.Sprintf("t-%03d-%d", i, n))] = core.ObjectOwner{Host: m.Host, Incarnation: m.Incarnation, Since: 900}
+		}
+	}
+	encode := func() []byte {
+		document.ChangeID = cryptorand.Text()
+		content, _ := json.Marshal(document)
+		return content
+	}
+	old := encode()
+	document.Epoch++
+	m := document.Members["r0-z0-070"]
+	m.GrantorsFrom, m.Grantors = document.Epoch, m.Grantors[1:]
+	document.Members[m.Host] = m
+	next := encode()
+	var patch []byte
+	b.Run("compute", func(b *testing.B) {
+		for b.Loop() {
+			patch = diff(old, next)
+		}
+		b.ReportMetric(float64(len(patch)), "patch_B")
+	})
+	b.Run("apply", func(b *testing.B) {
+		for b.Loop() {
+			_, _ = apply(old, patch)
+		}
+	})
+	b.Run("whole", func(b *testing.B) {
+		var data []byte
+		for b.Loop() {
+			data, _ = pack(next)
+		}
+		b.ReportMetric(float64(len(data)), "packed_B")
+		b.ReportMetric(float64(len(next)), "plain_B")
+	})
+}
+
+// BenchmarkPack reports the time to compress a settings tree of 690 hosts and its sizes.
+func BenchmarkPack(b *testing.B) {
+	content := targets(2760)
+	var data []byte
+	for b.Loop() {
+		data, _ = pack(content)
+	}
+	b.ReportMetric(float64(len(content)), "plain_B")
+	b.ReportMetric(float64(len(data)), "packed_B")
+}
+
+// targets returns a part of a settings tree with n targets.
+func targets(n int) []byte {
+	var b bytes.Buffer
+	for i := range n {
+		fmt.Fprintf(&b, "        \"statusboard-%04d\": {\n          \"address\": \"10.%d.%d.%d:%d\",\n          \"connections\": 360,\n"+
+			"          \"slots\": %d,\n          \"zone\": \"region-%d-a\"\n        },\n", i, i%5, i/250, i%250, 20000+i%7, 4+i%6, i%11)
+	}
+	return b.Bytes()
+}
--- /dev/null
+++ b/core/fanout/pull.go
@@ -0,0 +1,130 @@
+package fanout
+
+import (
+	"cmp"
+	"context"
+
+	"github.com/juju/errors"
+	"go.uber.org/zap"
+
+	"ebonyrouter.dev/core"
+	"ebonyrouter.dev/core/event"
+	"ebonyrouter.dev/core/wire"
+)
+
+type pull struct {
+	notice core.DocumentNotice
+	peer   string
+}
+
+// fetch returns the newest version that the peer holds: the changes since the held one if the peer has kept them and
+// they fit, or else the whole document.
+func (k *Keeper) fetch(ctx context.Context, peer, name string) (core.Document, error) {
+	held, _ := k.Document(name)
+	first, err := k.fetchChunk(ctx, peer, core.DocumentGet{Held: held.Version, Name: name})
+	if err != nil {
+		return core.Document{}, errors.Trace(err)
+	}
+	if first.Change != nil {
+		if d, err := patched(held, *first.Change); err == nil {
+			return d, nil
+		}
+		if first, err = k.fetchChunk(ctx, peer, core.DocumentGet{Name: name}); err != nil {
+			return core.Document{}, errors.Trace(err)
+		}
+	}
+	return k.fetchRest(ctx, peer, first)
+}
+
+// fetchRest returns the whole document of which the first part has arrived.
+func (k *Keeper) fetchRest(ctx context.Context, peer string, first core.DocumentChunk) (core.Document, error) {
+	d := core.Document{Name: first.Name, Version: first.Version}
+	data := first.Data
+	for len(data) < first.Total {
+		c, err := k.fetchChunk(ctx, peer, core.DocumentGet{Name: d.Name, Offset: len(data), Version: d.Version})
+		if err != nil {
+			return core.Document{}, errors.Trace(err)
+		}
+		if c.Version != d.Version || c.Offset != len(data) || c.Change != nil {
+			return core.Document{}, errors.Errorf("document %s changed during the transfer", d.Name)
+		}
+		data = append(data, c.Data...)
+	}
+	var err error
+	if d.Content, err = unpack(data); err != nil {
+		return core.Document{}, errors.Annotatef(err, "document %s from %s", d.Name, peer)
+	}
+	k.mu.Lock()
+	k.packed[d.Name] = packed{data: data, version: d.Version}
+	k.mu.Unlock()
+	return d, nil
+}
+
+func (k *Keeper) fetchChunk(ctx context.Context, peer string, get core.DocumentGet) (core.DocumentChunk, error) {
+	var c core.DocumentChunk
+	payload, err := wire.Encode(get)
+	if err != nil {
+		return c, errors.Trace(err)
+	}
+	ctx, cancel := context.WithTimeout(ctx, requestTimeout)
+	defer cancel()
+	reply, err := k.links.Request(ctx, peer, core.TopicDocumentGet, payload)
+	if err != nil {
+		return c, errors.Annotatef(err, "get document %s from %s", get.Name, peer)
+	}
+	return c, errors.Trace(wire.Decode(reply, &c))
+}
+
+func (k *Keeper) pull(ctx context.Context, peer string, n core.DocumentNotice) error {
+	if k.version(n.Name) >= n.Version {
+		return nil
+	}
+	d, err := k.fetch(ctx, peer, n.Name)
+	if err != nil {
+		return errors.Trace(err)
+	}
+	_, err = k.Offer(d)
+	return errors.Trace(err)
+}
+
+// pullAll pulls documents in any order of their dependencies: one that another has to come before is tried again as long
+// as others succeed. One that keeps failing does not hold up the rest; the first error is returned.
+func (k *Keeper) pullAll(ctx context.Context, peer string, notices []core.DocumentNotice) error {
+	for {
+		var failed []core.DocumentNotice
+		var first error
+		for _, n := range notices {
+			if err := k.pull(ctx, peer, n); err != nil {
+				failed = append(failed, n)
+				first = cmp.Or(first, err)
+			}
+		}
+		if len(failed) == 0 || len(failed) == len(notices) || ctx.Err() != nil {
+			return errors.Trace(first)
+		}
+		notices = failed
+	}
+}
+
+func (k *Keeper) pullLoop(ctx context.Context) {
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case p := <-k.pulls:
+			if err := k.pull(ctx, p.peer, p.notice); err != nil {
+				event.DocumentPullFailed.Write(k.log, zap.String("peer", p.peer), zap.Error(err))
+			}
+		}
+	}
+}
+
+func (k *Keeper) schedule(peer string, n core.DocumentNotice) {
+	if k.version(n.Name) >= n.Version {
+		return
+	}
+	select {
+	case k.pulls <- pull{notice: n, peer: peer}:
+	default: // The periodic exchange repairs a notice dropped here.
+	}
+}
--- /dev/null
+++ b/core/flags/exit.go
@@ -0,0 +1,7 @@
+package flags
+
+// Exit codes of all programs.
+const (
+	ExitFailure = 1
+	ExitUsage   = 2
+)
--- /dev/null
+++ b/core/flags/fault.go
@@ -0,0 +1,7 @@
+package flags
+
+// Fault describes one invalid process setting.
+type Fault struct {
+	Flag string
+	Text string
+}
--- /dev/null
+++ b/core/flags/process.go
@@ -0,0 +1,63 @@
+package flags
+
+import (
+	"net"
+
+	"go.uber.org/zap"
+)
+
+// Process holds the process settings that every program of a host has; the values are set once Set.Parse returned nil.
+type Process struct {
+	Admin  *string
+	Host   *string
+	Level  *string
+	Link   *string
+	Peers  *[]string
+	Region *string
+	Store  *string
+	Token  *string
+	Zone   *string
+
+	listenIP *string
+	program  string
+	sourceIP *string
+}
+
+// Process defines the flags of all programs of a host.
+func (s *Set) Process() Process {
+	return Process{
+		Admin:  s.Address("admin-address", "", "address of the administration API, health and metrics"),
+		Host:   s.String("host", "", "unique name of this host"),
+		Level:  s.OneOf("log-level", "info", "lowest level of log events", LogLevels()...),
+		Link:   s.Address("link-address", "", "address of control links from other processes"),
+		Peers:  s.Addresses("peers", "", "link addresses of steers on other hosts, asked for settings when no nearer source has them"),
+		Region: s.String("region", "", "region of this host"),
+		Store:  s.Address("store", "", "address of the platform's store"),
+		Token:  s.String("token", "", "shared token of control links and the administration API"),
+		Zone:   s.String("zone", "", "availability zone of this host"),
+
+		listenIP: s.OptionalIP("listen-ip", "", "IP address to listen on with the ports of the advertised addresses, if these are not local"),
+		program:  s.flags.Name(),
+		sourceIP: s.OptionalIP("source-ip", "", "IP address that outgoing connections leave from"),
+	}
+}
+
+// Labels returns the fields of every log event.
+func (p Process) Labels() []zap.Field {
+	return []zap.Field{zap.String("process", p.program), zap.String("self", *p.Host)}
+}
+
+// Listen returns where to listen for an advertised address.
+func (p Process) Listen(advertised string) string {
+	return ListenAddress(advertised, *p.listenIP)
+}
+
+// LogLevel returns the lowest level of log events.
+func (p Process) LogLevel() string {
+	return *p.Level
+}
+
+// Source returns the local address of outgoing connections, or nil to let the system choose.
+func (p Process) Source() net.Addr {
+	return SourceAddress(*p.sourceIP)
+}
--- /dev/null
+++ b/core/links.go
@@ -0,0 +1,57 @@
+package core
+
+import (
+	"context"
+
+	"github.com/juju/errors"
+)
+
+// Errors that every Links implementation returns, possibly wrapped.
+const (
+	// ErrLinkDown means that no live link to the address exists; nothing was sent.
+	ErrLinkDown = errors.ConstError("link down")
+	// ErrRingFull means that the send ring of the link has no room; nothing was sent.
+	ErrRingFull = errors.ConstError("send ring full")
+	// ErrNoReply means that the request was sent and no reply arrived in time.
+	ErrNoReply = errors.ConstError("no reply")
+)
+
+// Links carries control messages between processes over one multiplexed connection per address.
+type Links interface {
+	// Alive reports whether the link to address has been heard from within the liveness timeout.
+	Alive(address string) bool
+	// Close closes all links and waits for their goroutines.
+	Close() error
+	// Connect keeps a link to address open and redials it with jitter until Disconnect.
+	Connect(address string)
+	// Disconnect closes the link that Connect opened and stops redialling; a link that the peer opened stays.
+	Disconnect(address string)
+	// HandleMessage registers the receiver of one-way messages of topic; it must not block.
+	HandleMessage(topic string, handler MessageHandler)
+	// HandleRequest registers the handler that answers requests of topic.
+	HandleRequest(topic string, handler RequestHandler)
+	// Request sends payload and returns the reply of the same request and attempt.
+	Request(ctx context.Context, address, topic string, payload []byte) ([]byte, error)
+	// Send queues a one-way message; when the ring is full a droppable topic loses its oldest message.
+	Send(address, topic string, payload []byte) error
+}
+
+// MessageHandler receives one-way messages; peer is the remote end's advertised address.
+type MessageHandler func(peer string, payload []byte)
+
+// RequestHandler answers one request; an error is returned to the requester as text.
+type RequestHandler func(ctx context.Context, peer string, payload []byte) ([]byte, error)
+
+// Topics of control messages.
+const (
+	TopicDocument     = "document"
+	TopicDocumentGet  = "document_get"
+	TopicEntryStatus  = "entry_status"
+	TopicLeaseConfirm = "lease_confirm"
+	TopicLeaseRenew   = "lease_renew"
+	TopicLoad         = "load"
+	TopicMember       = "member"
+	TopicMemberRevoke = "member_revoke"
+	TopicStatusGet    = "status_get"
+	TopicSync         = "sync"
+)
--- /dev/null
+++ b/core/links/handshake.go
@@ -0,0 +1,94 @@
+package links
+
+import (
+	"crypto/sha256"
+	"crypto/subtle"
+
+	"github.com/juju/errors"
+
+	"ebonyrouter.dev/core/wire"
+)
+
+const (
+	// errBadFrame means that the peer broke the protocol.
+	errBadFrame = errors.ConstError("invalid frame")
+	// errBadToken means that the peer's shared token differs from ours.
+	errBadToken = errors.ConstError("wrong token")
+)
+
+const (
+	// A peer that has not shown the token may make this process read at most this much.
+	maxHelloBytes   = 4096
+	maxAddressBytes = 64
+	maxTopicBytes   = 64
+	protocolVersion = 3
+)
+
+// handshake exchanges hello frames; the accepting end answers only a peer that has shown the token.
+func (c *conn) handshake(r *wire.Reader, w *wire.Writer) error {
+	if c.dialled != "" {
+		if err := c.sendHello(w); err != nil {
+			return errors.Trace(err)
+		}
+	}
+	if err := c.readHello(r); err != nil {
+		return errors.Trace(err)
+	}
+	if c.dialled == "" {
+		return errors.Trace(c.sendHello(w))
+	}
+	return nil
+}
+
+func (c *conn) sendHello(w *wire.Writer) error {
+	f, err := encode(wire.KindHello, &hello{Address: c.manager.advertise, Token: c.manager.token, Version: protocolVersion})
+	if err != nil {
+		return errors.Trace(err)
+	}
+	if err := w.Write(f); err != nil {
+		return errors.Trace(err)
+	}
+	return errors.Trace(w.Flush())
+}
+
+func (c *conn) readHello(r *wire.Reader) error {
+	r.SetLimit(maxHelloBytes)
+	defer r.SetLimit(wire.MaxBodyBytes)
+	f, err := r.Read()
+	if err != nil {
+		return errors.Trace(err)
+	}
+	if f.Kind != wire.KindHello {
+		return errors.Annotatef(errBadFrame, "kind %d before hello", f.Kind)
+	}
+	var h hello
+	if err := wire.Decode(f.Body, &h); err != nil {
+		return errors.Annotate(errBadFrame, err.Error())
+	}
+	if !sameToken(h.Token, c.manager.token) {
+		return errors.Annotatef(errBadToken, "peer %q", h.Address)
+	}
+	c.peer = h.Address
+	if c.peer == "" {
+		c.peer = c.socket.RemoteAddr().String()
+	}
+	return nil
+}
+
+// sameToken compares digests, so that the time depends neither on the content nor on the length.
+func sameToken(a, b string) bool {
+	x := sha256.Sum256([]byte(a))
+	y := sha256.Sum256([]byte(b))
+	return subtle.ConstantTimeCompare(x[:], y[:]) == 1
+}
+
+func encode(kind wire.Kind, v any) (wire.Frame, error) {
+	b, err := wire.Encode(v)
+	if err != nil {
+		return wire.Frame{}, errors.Trace(err)
+	}
+	if len(b) > wire.MaxBodyBytes {
+		return wire.Frame{}, errors.Annotatef(wire.ErrTooLarge, "body of %d bytes", len(b))
+	}
+	return wire.Frame{Body: b, Kind: kind}, nil
+}
--- /dev/null
+++ b/core/links/result.go
@@ -0,0 +1,7 @@
+package links
+
+// result ends the wait for a reply.
+type result struct {
+	err     error
+	payload []byte
+}
--- /dev/null
+++ b/core/meter/doc.go
@@ -0,0 +1,2 @@
+// Package meter records latencies and counts with a bounded number of label values and serves them as /metrics.
+package meter
--- /dev/null
+++ b/core/meter/labels.go
@@ -0,0 +1,8 @@
+package meter
+
+// labels identifies one histogram by its name and the values of its two labels.
+type labels struct {
+	first string
+	last  string
+	name  string
+}
--- /dev/null
+++ b/core/pubsub/envelope.go
@@ -0,0 +1,22 @@
+package pubsub
+
+import "github.com/juju/errors"
+
+const maxUUIDBytes = 64
+
+// envelope is the form of a watermill message in the payload of a link message; an array takes 20 bytes less.
+type envelope struct {
+	_msgpack struct{} `msgpack:",as_array"` //nolint:unused // Read by the msgpack package.
+
+	Metadata map[string]string `msgpack:"metadata"`
+	Payload  []byte            `msgpack:"payload"`
+	UUID     string            `msgpack:"uuid"`
+}
+
+// Validate implements core.Validator.Validate.
+func (e *envelope) Validate() error {
+	if len(e.UUID) > maxUUIDBytes {
+		return errors.Errorf("uuid: %d bytes, at most %d", len(e.UUID), maxUUIDBytes)
+	}
+	return nil
+}
--- /dev/null
+++ b/core/ran.go
@@ -0,0 +1,33 @@
+package core
+
+// Ran tells a caller whether its request was run by an upstream.
+type Ran string
+
+// Values of the Ebony-Ran header.
+const (
+	// RanNo means that no upstream has run the request and none will.
+	RanNo Ran = "no"
+	// RanYes means that an upstream answered the request.
+	RanYes Ran = "yes"
+	// RanUnknown means that an upstream may have run the request.
+	RanUnknown Ran = "unknown"
+)
+
+// Headers that ebonyrouter reads from callers and adds to answers.
+const (
+	HeaderClass      = "Ebony-Class"
+	HeaderCode       = "Ebony-Code"
+	HeaderDeadline   = "Ebony-Deadline-Ms"
+	HeaderRan        = "Ebony-Ran"
+	HeaderRequestID  = "Ebony-Request-Id"
+	HeaderService    = "Ebony-Service"
+	HeaderTenant     = "Ebony-Tenant"
+	HeaderIdempotent = "Idempotency-Key"
+)
+
+// Headers that entry processes add to relayed requests; they are removed from callers' requests.
+const (
+	HeaderAttempt = "Ebony-Attempt"
+	HeaderHops    = "Ebony-Hops"
+	HeaderRegion  = "Ebony-From-Region"
+)
--- /dev/null
+++ b/core/ring/doc.go
@@ -0,0 +1,2 @@
+// Package ring joins goroutines by a bounded queue with an explicit overflow rule.
+package ring
--- /dev/null
+++ b/core/ring/entry.go
@@ -0,0 +1,7 @@
+package ring
+
+// Entry is one element of a Ring; a droppable entry may be discarded when the ring overflows.
+type Entry struct {
+	Droppable bool
+	Value     any
+}
--- /dev/null
+++ b/core/route.go
@@ -0,0 +1,73 @@
+package core
+
+import "context"
+
+// HopKind says what the next process on the path of a request does.
+type HopKind string
+
+// Kinds of hops.
+const (
+	// HopLocal means that this process owns a suitable target.
+	HopLocal HopKind = "local"
+	// HopOwner means that the peer owns suitable targets and may queue the request.
+	HopOwner HopKind = "owner"
+	// HopGateway means that the peer owns the shift cap towards Region and relays the request there.
+	HopGateway HopKind = "gateway"
+)
+
+// Hop is the next process for one attempt of a request; Peer is empty for HopLocal.
+type Hop struct {
+	Kind   HopKind
+	Peer   Host
+	Region string
+}
+
+// RouteRequest describes an attempt for which a hop is wanted.
+type RouteRequest struct {
+	AdmitRequest
+	// TriedHosts names hosts that already rejected or failed this request.
+	TriedHosts []string
+	// ToRegion is set when this process is the gateway and must choose an owner in that region.
+	ToRegion string
+}
+
+// Router chooses the next hop of a request from permissions and load hints.
+type Router interface {
+	// Route returns the next hop, or a *RejectedError when no permitted hop is left.
+	Route(request RouteRequest) (Hop, error)
+}
+
+// Shifter enforces the caps of shifts that this process owns.
+type Shifter interface {
+	// ReserveShift prepares one request of the shift; it returns a *RejectedError if the cap leaves no room now or if this
+	// process does not own the shift.
+	ReserveShift(service, from, to string) (ShiftGrant, error)
+}
+
+// ShiftGrant is permission to send one request to another region, once Admit has succeeded.
+type ShiftGrant interface {
+	// Admit counts the request against the cap; it is called immediately before the first byte is sent, and returns a
+	// *RejectedError if the cap has been reached since the reservation.
+	Admit() error
+	// PaceRequest waits until n bytes of the request may cross the link between the regions.
+	PaceRequest(ctx context.Context, n int) error
+	// PaceResponse waits until n bytes of the response may cross the link between the regions.
+	PaceResponse(ctx context.Context, n int) error
+	// Release reports the outcome, which the ramp uses as evidence.
+	Release(outcome Outcome)
+	// ValidUntil returns the end of the lease; no byte may be sent to the other region at or after it.
+	ValidUntil() Instant
+}
+
+// RetryBudget bounds retries and hedges to a share of recent first attempts.
+type RetryBudget interface {
+	// AllowHedge takes one hedge from the budget of service, if there is one.
+	AllowHedge(service string) bool
+	// AllowRetry takes one retry from the budget of service, if there is one.
+	AllowRetry(service string) bool
+	// RecordAttempt counts one first attempt of service.
+	RecordAttempt(service string)
+}
+
+// HeaderToRegion is set on requests relayed to a gateway and names the destination region.
+const HeaderToRegion = "Ebony-To-Region"
--- /dev/null
+++ b/core/settings.go
@@ -0,0 +1,106 @@
+package core
+
+// Settings is the tree that operators edit; all durations and sizes carry their unit in the field name.
+type Settings struct {
+	Deployment string                     `json:"deployment" msgpack:"deployment"`
+	Policy     Policy                     `json:"policy" msgpack:"policy"`
+	Regions    map[string]RegionSettings  `json:"regions" msgpack:"regions"`
+	Services   map[string]ServiceSettings `json:"services" msgpack:"services"`
+	Links      []LinkSettings             `json:"links,omitempty" msgpack:"links"`
+	Shifts     []ShiftSettings            `json:"shifts,omitempty" msgpack:"shifts"`
+	Drains     DrainSettings              `json:"drains,omitzero" msgpack:"drains"`
+	Blocks     BlockSettings              `json:"blocks,omitzero" msgpack:"blocks"`
+	// StoreRegion is the region in which the store is; the writers of idempotency records are chosen there. If it is
+	// empty, each region has its own.
+	StoreRegion string `json:"store_region,omitempty" msgpack:"store_region"`
+}
+
+// RegionSettings holds the availability zones of a region and its overrides.
+type RegionSettings struct {
+	Policy   Policy                  `json:"policy,omitzero" msgpack:"policy"`
+	Services map[string]Policy       `json:"services,omitempty" msgpack:"services"`
+	Zones    map[string]ZoneSettings `json:"zones" msgpack:"zones"`
+}
+
+// ZoneSettings holds the overrides of one availability zone.
+type ZoneSettings struct {
+	Policy   Policy            `json:"policy,omitzero" msgpack:"policy"`
+	Services map[string]Policy `json:"services,omitempty" msgpack:"services"`
+}
+
+// ServiceSettings holds the targets of a service, the Host names that select it and its overrides.
+type ServiceSettings struct {
+	HostNames []string                  `json:"host_names,omitempty" msgpack:"host_names"`
+	Policy    Policy                    `json:"policy,omitzero" msgpack:"policy"`
+	Targets   map[string]TargetSettings `json:"targets" msgpack:"targets"`
+}
+
+// TargetSettings describes one upstream target; Address is an IP address with port.
+type TargetSettings struct {
+	Address     string `json:"address" msgpack:"address"`
+	Connections int    `json:"connections" msgpack:"connections"`
+	Slots       int    `json:"slots" msgpack:"slots"`
+	Zone        string `json:"zone" msgpack:"zone"`
+}
+
+// LinkSettings bounds all traffic of ours from one region to another, each way separately.
+type LinkSettings struct {
+	From          string `json:"from" msgpack:"from"`
+	MbitPerSecond int64  `json:"mbit_per_second" msgpack:"mbit_per_second"`
+	OneWayMs      int64  `json:"one_way_ms" msgpack:"one_way_ms"`
+	To            string `json:"to" msgpack:"to"`
+}
+
+// ShiftSettings caps the requests of a service that callers of region From may send to region To;
+// Percent moves that part of From's requests on purpose, 0 only spills over.
+type ShiftSettings struct {
+	From              string `json:"from" msgpack:"from"`
+	Percent           int64  `json:"percent,omitempty" msgpack:"percent"`
+	RequestsPerSecond int64  `json:"requests_per_second" msgpack:"requests_per_second"`
+	Service           string `json:"service" msgpack:"service"`
+	To                string `json:"to" msgpack:"to"`
+}
+
+// DrainSettings lists what operators take out of service; targets are named service/target. Gone names hosts whose
+// processes have ended for good, as operators know, so that their objects can move although no grantor is left.
+type DrainSettings struct {
+	Gone    []string `json:"gone,omitempty" msgpack:"gone"`
+	Hosts   []string `json:"hosts,omitempty" msgpack:"hosts"`
+	Targets []string `json:"targets,omitempty" msgpack:"targets"`
+	Zones   []string `json:"zones,omitempty" msgpack:"zones"`
+}
+
+// BlockSettings names the version and number of parts of the client block map in the store.
+type BlockSettings struct {
+	Parts   int    `json:"parts" msgpack:"parts"`
+	Version string `json:"version" msgpack:"version"`
+}
+
+// SettingsHead is the store object that names the accepted revision.
+type SettingsHead struct {
+	Author   string `json:"author" msgpack:"author"`
+	ChangeID string `json:"change_id" msgpack:"change_id"`
+	Digest   string `json:"digest" msgpack:"digest"`
+	Message  string `json:"message" msgpack:"message"`
+	Parts    int    `json:"parts" msgpack:"parts"`
+	Revision int64  `json:"revision" msgpack:"revision"`
+	UnixMs   int64  `json:"unix_ms" msgpack:"unix_ms"`
+}
+
+// SettingsUpdate carries one accepted revision between processes; Content is the JSON tree.
+type SettingsUpdate struct {
+	Head    SettingsHead `json:"head" msgpack:"head"`
+	Content []byte       `json:"content" msgpack:"content"`
+}
+
+// SettingsSource hands out the revision in force.
+type SettingsSource interface {
+	// Current returns the revision in force; it must not be modified.
+	Current() *Snapshot
+}
+
+// SettingsView is the revision in force as the administration API shows it.
+type SettingsView struct {
+	Head     SettingsHead `json:"head" msgpack:"head"`
+	Settings Settings     `json:"settings" msgpack:"settings"`
+}
--- /dev/null
+++ b/core/snapshot.go
@@ -0,0 +1,34 @@
+package core
+
+import "github.com/juju/errors"
+
+// Snapshot is one immutable revision with the effective policies already resolved.
+type Snapshot struct {
+	Head     SettingsHead
+	Settings Settings
+	// Policies maps service, then availability zone, to the effective policy.
+	Policies map[string]map[string]EffectivePolicy
+	// RegionOf maps each availability zone to its region.
+	RegionOf map[string]string
+	// ServiceOf maps each Host name to its service.
+	ServiceOf map[string]string
+}
+
+// CheckPlace returns an error unless settings are in force that have the availability zone in the region.
+func (s *Snapshot) CheckPlace(region, zone string) error {
+	if s == nil {
+		return errors.New("no settings in force")
+	}
+	if known := s.RegionOf[zone]; known != region {
+		return errors.Errorf("settings place availability zone %q in region %q, the process in %q", zone, known, region)
+	}
+	return nil
+}
+
+// Revision returns the number of the revision, or 0 for nil, when no settings are in force.
+func (s *Snapshot) Revision() int64 {
+	if s == nil {
+		return 0
+	}
+	return s.Head.Revision
+}
--- /dev/null
+++ b/core/store/client.go
@@ -0,0 +1,194 @@
+package store
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptrace"
+	"net/url"
+	"strconv"
+	"sync/atomic"
+	"time"
+
+	"github.com/juju/errors"
+
+	"ebonyrouter.dev/core"
+)
+
+// Limits of the client's connections and answers.
+const (
+	defaultCallTimeout = 2 * time.Second
+	defaultDialTimeout = time.Second
+	// watchTimeoutMargin is the time beyond the store's wait limit after which a watch counts as lost.
+	watchTimeoutMargin = 5 * time.Second
+	maxAnswerBytes     = 256 << 20
+	maxErrorBytes      = 1 << 10
+	maxIdleConnections = 32
+	idleTimeout        = 30 * time.Second
+)
+
+// Client is the HTTP client of the platform's object store.
+type Client struct {
+	address      string
+	callTimeout  time.Duration
+	client       *http.Client
+	dialer       *net.Dialer
+	watchTimeout time.Duration
+}
+
+var (
+	_ core.ChangedGetter = (*Client)(nil)
+	_ core.Store         = (*Client)(nil)
+)
+
+// NewClient returns a client of the store at address, an IP address with port.
+func NewClient(address string, options ...ClientOption) *Client {
+	dialer := &net.Dialer{Timeout: defaultDialTimeout}
+	c := &Client{
+		dialer:      dialer,
+		address:     address,
+		callTimeout: defaultCallTimeout,
+		client: &http.Client{
+			Transport: &http.Transport{
+				DialContext:         dialer.DialContext,
+				DisableCompression:  true,
+				IdleConnTimeout:     idleTimeout,
+				MaxIdleConns:        maxIdleConnections,
+				MaxIdleConnsPerHost: maxIdleConnections,
+			},
+			CheckRedirect: func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse },
+		},
+		watchTimeout: WatchLimit + watchTimeoutMargin,
+	}
+	for _, o := range options {
+		o(c)
+	}
+	return c
+}
+
+// Close closes the idle connections.
+func (c *Client) Close() {
+	c.client.CloseIdleConnections()
+}
+
+// Delete implements core.Store.Delete.
+func (c *Client) Delete(ctx context.Context, key string, version int64) error {
+	var o core.Object
+	return c.call(ctx, clientCall{method: http.MethodDelete, url: c.objectURL(key), version: version, write: true}, &o)
+}
+
+// Get implements core.Store.Get.
+func (c *Client) Get(ctx context.Context, key string) (core.Object, error) {
+	var o core.Object
+	err := c.call(ctx, clientCall{method: http.MethodGet, url: c.objectURL(key)}, &o)
+	return o, err
+}
+
+// GetChanged implements core.ChangedGetter.GetChanged.
+func (c *Client) GetChanged(ctx context.Context, key string, version int64) (core.Object, error) {
+	var o core.Object
+	err := c.call(ctx, clientCall{method: http.MethodGet, unless: version, url: c.objectURL(key)}, &o)
+	return o, err
+}
+
+// List implements core.Store.List.
+func (c *Client) List(ctx context.Context, prefix string) ([]core.Object, error) {
+	var answer ListAnswer
+	query := url.Values{"prefix": {prefix}}
+	err := c.call(ctx, clientCall{method: http.MethodGet, url: c.url(PathList, query)}, &answer)
+	return answer.Objects, err
+}
+
+// Put implements core.Store.Put.
+func (c *Client) Put(ctx context.Context, key string, value []byte, version int64) (int64, error) {
+	if len(value) > core.MaxObjectBytes {
+		return 0, errors.Annotatef(core.ErrTooLarge, "put %s with %d bytes", key, len(value))
+	}
+	body, err := json.Marshal(core.Object{Key: key, Value: value})
+	if err != nil {
+		return 0, errors.Annotatef(err, "encode %s", key)
+	}
+	var o core.Object
+	call := clientCall{method: http.MethodPut, url: c.objectURL(key), body: body, version: version, write: true}
+	if err := c.call(ctx, call, &o); err != nil {
+		return 0, err
+	}
+	return o.Version, nil
+}
+
+// Watch implements core.Store.Watch.
+func (c *Client) Watch(ctx context.Context, prefix string, after int64) ([]core.Object, int64, error) {
+	var answer ListAnswer
+	query := url.Values{"prefix": {prefix}, "after": {strconv.FormatInt(after, 10)}}
+	call := clientCall{method: http.MethodGet, url: c.url(PathWatch, query), timeout: c.watchTimeout}
+	if err := c.call(ctx, call, &answer); err != nil {
+		return nil, after, err
+	}
+	return answer.Objects, answer.Version, nil
+}
+
+// call makes one HTTP call, decodes its answer into result and maps every failure to an error of core.
+func (c *Client) call(ctx context.Context, call clientCall, result any) error {
+	timeout := c.callTimeout
+	if call.timeout > 0 {
+		timeout = call.timeout
+	}
+	ctx, cancel := context.WithTimeout(ctx, timeout)
+	defer cancel()
+	// A write whose connection was never established cannot have reached the store.
+	var connected, reused atomic.Bool
+	ctx = httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{
+		GotConn: func(info httptrace.GotConnInfo) {
+			connected.Store(true)
+			reused.Store(info.Reused)
+		},
+	})
+	defer func() { c.suspect(ctx, call, reused.Load()) }()
+	request, err := http.NewRequestWithContext(ctx, call.method, call.url, bytes.NewReader(call.body))
+	if err != nil {
+		return errors.Annotatef(err, "%s %s", call.method, call.url)
+	}
+	if call.write {
+		request.Header.Set(HeaderIfVersion, strconv.FormatInt(call.version, 10))
+	}
+	if call.unless > 0 {
+		request.Header.Set(HeaderUnlessVersion, strconv.FormatInt(call.unless, 10))
+	}
+	answer, err := c.client.Do(request)
+	if err != nil {
+		return call.lost(err, connected.Load())
+	}
+	defer func() { _ = answer.Body.Close() }()
+	if answer.StatusCode != http.StatusOK {
+		return call.refused(answer)
+	}
+	content, err := io.ReadAll(io.LimitReader(answer.Body, maxAnswerBytes))
+	if err != nil {
+		return call.lost(err, true)
+	}
+	if err := json.Unmarshal(content, result); err != nil {
+		return call.lost(err, true)
+	}
+	return nil
+}
+
+func (c *Client) objectURL(key string) string {
+	return c.url(PathObjects+key, nil)
+}
+
+// suspect closes the idle connections after a call that got no answer in time on a kept connection: if that one has gone
+// silent, the others of its age have as well, and each would cost one more call its timeout. A watch waits for changes,
+// so that its timeout tells nothing.
+func (c *Client) suspect(ctx context.Context, call clientCall, reused bool) {
+	if reused && call.timeout == 0 && errors.Is(ctx.Err(), context.DeadlineExceeded) {
+		c.client.CloseIdleConnections()
+	}
+}
+
+func (c *Client) url(path string, query url.Values) string {
+	u := url.URL{Scheme: "http", Host: c.address, Path: path, RawQuery: query.Encode()}
+	return u.String()
+}
--- /dev/null
+++ b/core/store/server/server.go
@@ -0,0 +1,195 @@
+package server
+
+import (
+	"context"
+	"encoding/json"
+	"net/http"
+	"strconv"
+	"strings"
+
+	"github.com/go-chi/chi/v5"
+	"github.com/juju/errors"
+	"go.uber.org/zap"
+
+	"ebonyrouter.dev/core"
+	"ebonyrouter.dev/core/event"
+	"ebonyrouter.dev/core/store"
+)
+
+// Control paths of the stand-in.
+const (
+	// PathCalls answers GET with the number of calls per kind.
+	PathCalls = "/control/calls"
+	// PathFaults answers GET with the faults in force and replaces them on PUT, as JSON of store.Faults.
+	PathFaults = "/control/faults"
+)
+
+// maxBodyBytes admits a value of core.MaxObjectBytes in base64 with its JSON frame.
+const maxBodyBytes = 2 * core.MaxObjectBytes
+
+// Server is the HTTP handler of the store stand-in.
+type Server struct {
+	http.Handler
+	log    *zap.Logger
+	memory *store.Memory
+}
+
+// New returns a handler that serves the object API and the control paths of memory.
+func New(memory *store.Memory, log *zap.Logger) *Server {
+	s := &Server{log: log, memory: memory}
+	r := chi.NewRouter()
+	r.Get(store.PathObjects+"*", s.get)
+	r.Put(store.PathObjects+"*", s.put)
+	r.Delete(store.PathObjects+"*", s.delete)
+	r.Get(store.PathList, s.list)
+	r.Get(store.PathWatch, s.watch)
+	r.Get(PathCalls, s.calls)
+	r.Get(PathFaults, s.faults)
+	r.Put(PathFaults, s.setFaults)
+	s.Handler = r
+	return s
+}
+
+func (s *Server) calls(w http.ResponseWriter, _ *http.Request) {
+	s.answer(w, s.memory.Calls())
+}
+
+func (s *Server) delete(w http.ResponseWriter, r *http.Request) {
+	version, ok := expected(w, r)
+	if !ok {
+		return
+	}
+	// A write that was received is processed even when its caller has stopped waiting.
+	if err := s.memory.Delete(context.WithoutCancel(r.Context()), key(r), version); err != nil {
+		refuse(w, err)
+		return
+	}
+	s.answer(w, core.Object{Key: key(r), Deleted: true})
+}
+
+func (s *Server) faults(w http.ResponseWriter, _ *http.Request) {
+	s.answer(w, s.memory.Faults())
+}
+
+func (s *Server) get(w http.ResponseWriter, r *http.Request) {
+	held := int64(0)
+	if text := r.Header.Get(store.HeaderUnlessVersion); text != "" {
+		var err error
+		if held, err = strconv.ParseInt(text, 10, 64); err != nil {
+			http.Error(w, store.HeaderUnlessVersion+": "+err.Error(), http.StatusBadRequest)
+			return
+		}
+	}
+	o, err := s.memory.GetChanged(r.Context(), key(r), held)
+	if err != nil {
+		refuse(w, err)
+		return
+	}
+	s.answer(w, o)
+}
+
+func (s *Server) list(w http.ResponseWriter, r *http.Request) {
+	objects, err := s.memory.List(r.Context(), r.URL.Query().Get("prefix"))
+	if err != nil {
+		refuse(w, err)
+		return
+	}
+	answer := store.ListAnswer{Objects: objects}
+	for _, o := range objects {
+		answer.Version = max(answer.Version, o.Version)
+	}
+	s.answer(w, answer)
+}
+
+func (s *Server) put(w http.ResponseWriter, r *http.Request) {
+	version, ok := expected(w, r)
+	if !ok {
+		return
+	}
+	var o core.Object
+	if !decode(w, r, &o) {
+		return
+	}
+	next, err := s.memory.Put(context.WithoutCancel(r.Context()), key(r), o.Value, version)
+	if err != nil {
+		refuse(w, err)
+		return
+	}
+	s.answer(w, core.Object{Key: key(r), Version: next})
+}
+
+func (s *Server) setFaults(w http.ResponseWriter, r *http.Request) {
+	var f store.Faults
+	if !decode(w, r, &f) {
+		return
+	}
+	s.memory.SetFaults(f)
+	event.StandInFaultsSet.Write(s.log, zap.Bool("outage", f.Outage), zap.Int64("slow_ms", f.SlowMs), zap.Int("lost_answers", f.LostAnswers))
+	s.answer(w, f)
+}
+
+func (s *Server) watch(w http.ResponseWriter, r *http.Request) {
+	after, err := strconv.ParseInt(r.URL.Query().Get("after"), 10, 64)
+	if err != nil {
+		http.Error(w, "after: "+err.Error(), http.StatusBadRequest)
+		return
+	}
+	objects, next, err := s.memory.Watch(r.Context(), r.URL.Query().Get("prefix"), after)
+	if err != nil {
+		refuse(w, err)
+		return
+	}
+	s.answer(w, store.ListAnswer{Objects: objects, Version: next})
+}
+
+func (s *Server) answer(w http.ResponseWriter, value any) {
+	w.Header().Set("Content-Type", "application/json")
+	if err := json.NewEncoder(w).Encode(value); err != nil {
+		event.StandInCallFailed.Write(s.log, zap.Error(err))
+	}
+}
+
+func decode(w http.ResponseWriter, r *http.Request, value any) bool {
+	err := json.NewDecoder(http.MaxBytesReader(w, r.Body, maxBodyBytes)).Decode(value)
+	if err == nil {
+		return true
+	}
+	status := http.StatusBadRequest
+	var tooLarge *http.MaxBytesError
+	if errors.As(err, &tooLarge) {
+		status = http.StatusRequestEntityTooLarge
+	}
+	http.Error(w, "body: "+err.Error(), status)
+	return false
+}
+
+func expected(w http.ResponseWriter, r *http.Request) (int64, bool) {
+	version, err := strconv.ParseInt(r.Header.Get(store.HeaderIfVersion), 10, 64)
+	if err != nil {
+		http.Error(w, store.HeaderIfVersion+": "+err.Error(), http.StatusBadRequest)
+		return 0, false
+	}
+	return version, true
+}
+
+func key(r *http.Request) string {
+	return strings.TrimPrefix(r.URL.Path, store.PathObjects)
+}
+
+// refuse answers with the status of err; a lost answer closes the connection without one.
+func refuse(w http.ResponseWriter, err error) {
+	switch {
+	case errors.Is(err, core.ErrUncertain):
+		panic(http.ErrAbortHandler)
+	case errors.Is(err, core.ErrUnchanged):
+		w.WriteHeader(http.StatusNotModified)
+	case errors.Is(err, core.ErrNotFound):
+		http.Error(w, err.Error(), http.StatusNotFound)
+	case errors.Is(err, core.ErrConflict):
+		http.Error(w, err.Error(), http.StatusConflict)
+	case errors.Is(err, core.ErrTooLarge):
+		http.Error(w, err.Error(), http.StatusRequestEntityTooLarge)
+	default:
+		http.Error(w, err.Error(), http.StatusServiceUnavailable)
+	}
+}
--- /dev/null
+++ b/core/timer/ticks.go
@@ -0,0 +1,76 @@
+package timer
+
+import (
+	"sync"
+	"time"
+
+	"ebonyrouter.dev/core"
+)
+
+// ticks serves all subscriptions of a System from one goroutine, which runs while there is one. Ticks fall on multiples
+// of their period since start, so that subscriptions whose periods divide each other wake the process together: with a
+// goroutine and a phase per subscription an idle entry process woke about 130 times a second for ticks alone.
+type ticks struct {
+	mu            sync.Mutex
+	running       *ticker
+	start         time.Time
+	subscriptions map[*systemSubscription]struct{}
+}
+
+func newTicks() *ticks {
+	return &ticks{start: time.Now(), subscriptions: map[*systemSubscription]struct{}{}}
+}
+
+// add starts the ticks of u.
+func (t *ticks) add(u *systemSubscription) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	u.due = t.after(time.Now(), u.period)
+	t.subscriptions[u] = struct{}{}
+	if t.running == nil {
+		t.running = newTicker()
+		go t.running.run(t)
+	}
+	t.running.wake()
+}
+
+// after returns the first multiple of period since start that lies after now.
+func (t *ticks) after(now time.Time, period time.Duration) time.Time {
+	return now.Add(period - now.Sub(t.start)%period)
+}
+
+// fire ticks the subscriptions that are due at now and returns when the next one is, or now plus an hour without any.
+func (t *ticks) fire(now time.Time) time.Time {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	next := now.Add(time.Hour)
+	var instant core.Instant
+	for u := range t.subscriptions {
+		if !u.due.After(now) {
+			if instant == 0 {
+				instant = bootTime()
+			}
+			u.tick(instant)
+			u.due = t.after(now, u.period)
+		}
+		if u.due.Before(next) {
+			next = u.due
+		}
+	}
+	return next
+}
+
+// remove ends the ticks of u, and the goroutine with the last subscription.
+func (t *ticks) remove(u *systemSubscription) {
+	t.mu.Lock()
+	delete(t.subscriptions, u)
+	var idle *ticker
+	if len(t.subscriptions) == 0 {
+		idle, t.running = t.running, nil
+	}
+	t.mu.Unlock()
+	if idle != nil {
+		close(idle.quit)
+		<-idle.done
+	}
+}
--- /dev/null
+++ b/core/wire/kind.go
@@ -0,0 +1,13 @@
+package wire
+
+// Kind says what the body of a frame holds.
+type Kind byte
+
+// Kinds of frames.
+const (
+	KindHello     Kind = 1
+	KindHeartbeat Kind = 2
+	KindMessage   Kind = 3
+	KindRequest   Kind = 4
+	KindReply     Kind = 5
+)
--- /dev/null
+++ b/core/wire/shape.go
@@ -0,0 +1,84 @@
+package wire
+
+import (
+	"encoding/binary"
+
+	"github.com/juju/errors"
+)
+
+// The msgpack decoder recurses per level; a body of 1 MiB could nest a million levels and use hundreds of MB of stack.
+const maxDepth = 32
+
+// checkShape returns an error unless body is exactly one complete msgpack value of at most maxDepth levels.
+func checkShape(body []byte) error {
+	var open [maxDepth]int
+	depth := 0
+	open[0] = 1
+	at := 0
+	for depth >= 0 {
+		if open[depth] == 0 {
+			depth--
+			continue
+		}
+		open[depth]--
+		bytes, values, err := element(body[at:])
+		if err != nil {
+			return errors.Annotatef(err, "msgpack value at byte %d", at)
+		}
+		at += bytes
+		if values == 0 {
+			continue
+		}
+		if depth++; depth == maxDepth {
+			return errors.Errorf("msgpack value at byte %d: nested deeper than %d levels", at, maxDepth)
+		}
+		open[depth] = values
+	}
+	if at != len(body) {
+		return errors.Errorf("%d bytes after the msgpack value", len(body)-at)
+	}
+	return nil
+}
+
+// element returns the length of the first element without its children and the number of its children.
+func element(b []byte) (size, children int, err error) {
+	if len(b) == 0 {
+		return 0, 0, errors.New("missing")
+	}
+	switch c := b[0]; {
+	case c <= 0x7f, c >= 0xe0, c == 0xc0, c == 0xc2, c == 0xc3:
+		size = 1
+	case c <= 0x8f:
+		size, children = 1, 2*int(c&0xf)
+	case c <= 0x9f:
+		size, children = 1, int(c&0xf)
+	case c <= 0xbf:
+		size = 1 + int(c&0x1f)
+	case c == 0xc1:
+		return 0, 0, errors.New("reserved code 0xc1")
+	default:
+		size, children, err = longElement(c, b[1:])
+	}
+	if err == nil && size > len(b) || children > len(b)-size {
+		err = errors.New("truncated")
+	}
+	return size, children, err
+}
+
+// longElement handles the codes 0xc4 to 0xdf, whose length follows the code.
+func longElement(c byte, rest []byte) (size, children int, err error) {
+	f := forms[c-0xc4]
+	if f.lengthBytes > len(rest) {
+		return 0, 0, errors.New("truncated")
+	}
+	length := 0
+	switch f.lengthBytes {
+	case 1:
+		length = int(rest[0])
+	case 2:
+		length = int(binary.BigEndian.Uint16(rest))
+	case 4:
+		length = int(binary.BigEndian.Uint32(rest))
+	}
+	return 1 + f.lengthBytes + f.fixedBytes + length*f.bytesPer, length * f.childrenPer, nil
+}
--- /dev/null
+++ b/core/wire/wire_test.go
@@ -0,0 +1,103 @@
+package wire_test
+
+import (
+	"bytes"
+	"errors"
+	"io"
+	"strings"
+	"testing"
+
+	"gotest.tools/v3/assert"
+
+	"ebonyrouter.dev/core"
+	"ebonyrouter.dev/core/wire"
+)
+
+var errInvalid = errors.New("host is missing")
+
+type checked struct {
+	Host string `msgpack:"host"`
+}
+
+func (c *checked) Validate() error {
+	if c.Host == "" {
+		return errInvalid
+	}
+	return nil
+}
+
+// Guards against frames that are accepted, cut short or allocated against the limits.
+func TestReaderRejects(t *testing.T) {
+	for name, tc := range map[string]struct {
+		input string
+		want  error
+	}{
+		"empty":          {"", io.EOF},
+		"half header":    {"\x00\x00", io.ErrUnexpectedEOF},
+		"half body":      {"\x00\x00\x00\x05\x03abc", io.ErrUnexpectedEOF},
+		"above limit":    {"\x00\x10\x00\x01\x03", wire.ErrTooLarge},
+		"largest length": {"\xff\xff\xff\xff\x03", wire.ErrTooLarge},
+	} {
+		t.Run(name, func(t *testing.T) {
+			_, err := wire.NewReader(strings.NewReader(tc.input)).Read()
+			assert.ErrorIs(t, err, tc.want)
+		})
+	}
+}
+
+// Guards against bodies that are lost or changed between Writer and Reader, up to the largest one.
+func TestFrameRoundTrip(t *testing.T) {
+	var stream bytes.Buffer
+	w := wire.NewWriter(&stream)
+	for _, n := range []int{0, 1, wire.MaxBodyBytes} {
+		assert.NilError(t, w.Write(wire.Frame{Kind: wire.KindReply, Body: bytes.Repeat([]byte{7}, n)}))
+	}
+	assert.ErrorIs(t, w.Write(wire.Frame{Body: make([]byte, wire.MaxBodyBytes+1)}), wire.ErrTooLarge)
+	assert.NilError(t, w.Flush())
+	r := wire.NewReader(&stream)
+	for _, n := range []int{0, 1, wire.MaxBodyBytes} {
+		f, err := r.Read()
+		assert.NilError(t, err)
+		assert.Equal(t, f.Kind, wire.KindReply)
+		assert.Equal(t, len(f.Body), n)
+	}
+	_, err := r.Read()
+	assert.ErrorIs(t, err, io.EOF)
+}
+
+// Guards against bodies that exhaust the stack or memory, and against values that skip validation.
+func TestDecodeRejects(t *testing.T) {
+	for name, body := range map[string]string{
+		"empty":          "",
+		"deep array":     strings.Repeat("\x91", wire.MaxBodyBytes),
+		"long array":     "\xdd\xff\xff\xff\xff",
+		"long map":       "\xdf\x7f\xff\xff\xff\x01",
+		"reserved":       "\xc1",
+		"trailing bytes": "\x80\x80",
+		"wrong type":     "\x93\x01\x02\x03",
+		"invalid":        "\x80",
+	} {
+		t.Run(name, func(t *testing.T) {
+			assert.Assert(t, wire.Decode([]byte(body), &checked{}) != nil)
+		})
+	}
+	assert.ErrorIs(t, wire.Decode([]byte("\x80"), &checked{}), errInvalid)
+}
+
+// FuzzDecode guards against bytes that crash the decoder and against values that change in a round trip.
+func FuzzDecode(f *testing.F) {
+	f.Fuzz(func(t *testing.T, body []byte) {
+		_, _ = wire.NewReader(bytes.NewReader(body)).Read()
+		var loose any
+		_ = wire.Decode(body, &loose)
+		var o core.Ownership
+		if wire.Decode(body, &o) != nil {
+			return
+		}
+		b, err := wire.Encode(o)
+		assert.NilError(t, err)
+		var again core.Ownership
+		assert.NilError(t, wire.Decode(b, &again))
+		assert.DeepEqual(t, o, again)
+	})
+}
--- /dev/null
+++ b/e2e/doc.go
@@ -0,0 +1,2 @@
+// Package e2e tests the programs together as separate processes on loopback, with faults.
+package e2e
--- /dev/null
+++ b/e2e/main_test.go
@@ -0,0 +1,36 @@
+package e2e_test
+
+import (
+	"fmt"
+	"os"
+	"testing"
+
+	"ebonyrouter.dev/fleet"
+)
+
+// binaries are built once for all tests.
+var binaries fleet.Binaries
+
+func TestMain(m *testing.M) {
+	os.Exit(runTests(m))
+}
+
+func runTests(m *testing.M) int {
+	dir, err := os.MkdirTemp("", "ebony-e2e-")
+	if err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		return 1
+	}
+	defer func() { _ = os.RemoveAll(dir) }()
+	if binaries, err = fleet.Build(dir, "entry", "steer", "teststore", "testup"); err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		return 1
+	}
+	return m.Run()
+}
+
+// deploy starts a deployment and waits until every target has a usable owner.
+func deploy(t *testing.T, s fleet.Spec) *fleet.Deployment {
+	t.Helper()
+	return fleet.Deploy(t, binaries, s)
+}
--- /dev/null
+++ b/ebonyctl/blocks_apply.go
@@ -0,0 +1,38 @@
+package main
+
+import (
+	"context"
+	"flag"
+
+	"github.com/peterbourgon/ff/v3/ffcli"
+
+	"ebonyrouter.dev/core"
+)
+
+func (a *app) blocksApplyCommand() *ffcli.Command {
+	var base int64
+	var dryRun bool
+	register := func(flags *flag.FlagSet) {
+		a.registerWrite(flags)
+		flags.Int64Var(&base, "base", 0, "`revision` whose map the file was edited from, as printed by blocks get; 0 if it had none")
+		flags.BoolVar(&dryRun, "dry-run", false, "show what would be written")
+	}
+	return a.command("blocks apply", "FILE", "puts the map of a block file in force", register, func(ctx context.Context, args []string) error {
+		file, err := readBlocks(args[0])
+		if err != nil {
+			return err
+		}
+		encoded, err := file.Encode()
+		if err != nil {
+			return err
+		}
+		c := blocksChange{app: a, base: base, encoded: encoded, file: file, path: args[0]}
+		if dryRun {
+			return a.dryRun(func(s core.Store) (core.SettingsHead, error) {
+				head, _, err := c.apply(ctx, s)
+				return head, err
+			})
+		}
+		return a.report(c.apply(ctx, a.store()))
+	})
+}
--- /dev/null
+++ b/ebonyctl/blocks_diff.go
@@ -0,0 +1,29 @@
+package main
+
+import (
+	"context"
+
+	"github.com/peterbourgon/ff/v3/ffcli"
+
+	"ebonyrouter.dev/core/blocks"
+)
+
+func (a *app) blocksDiffCommand() *ffcli.Command {
+	var revision int64
+	return a.command("blocks diff", "FILE", "compares a block file with the map of a revision", a.registerRevision(&revision), func(ctx context.Context, args []string) error {
+		file, err := readBlocks(args[0])
+		if err != nil {
+			return err
+		}
+		head, old, _, err := loadBlocks(ctx, a.readable(), revision)
+		if err != nil {
+			return err
+		}
+		differences := blocks.Diff(old, &file.Map)
+		for _, d := range differences {
+			a.print("%s", d)
+		}
+		a.print("%d differences from revision %d", len(differences), head.Revision)
+		return nil
+	})
+}
--- /dev/null
+++ b/ebonyctl/check.go
@@ -0,0 +1,39 @@
+package main
+
+import (
+	"context"
+
+	"github.com/juju/errors"
+	"github.com/peterbourgon/ff/v3/ffcli"
+
+	"ebonyrouter.dev/core"
+	"ebonyrouter.dev/core/blocks"
+	"ebonyrouter.dev/core/codes"
+)
+
+func (a *app) checkCommand() *ffcli.Command {
+	return a.command("check", "FILE", "checks a settings file", a.registerStore, func(ctx context.Context, args []string) error {
+		settings, err := read(args[0])
+		if err != nil {
+			return err
+		}
+		if err := a.checkBlocks(ctx, settings); err != nil {
+			return errors.Annotate(err, args[0])
+		}
+		a.print("%d valid: %s", codes.SettingsValid, args[0])
+		return nil
+	})
+}
+
+// checkBlocks checks settings against their block map as an edit of the newest revision; without a map it needs no store.
+func (a *app) checkBlocks(ctx context.Context, settings core.Settings) error {
+	if settings.Blocks.Version == "" {
+		return nil
+	}
+	s := a.readable()
+	_, base, err := load(ctx, s, 0)
+	if err != nil {
+		return err
+	}
+	return blocks.CheckZones(ctx, s, &base, &settings)
+}
--- /dev/null
+++ b/ebonyctl/explain.go
@@ -0,0 +1,30 @@
+package main
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"net/netip"
+	"net/url"
+
+	"github.com/juju/errors"
+	"github.com/peterbourgon/ff/v3/ffcli"
+)
+
+func (a *app) explainCommand() *ffcli.Command {
+	return a.command("explain", "SERVICE CLIENT", "shows where a client's requests go", a.registerAdmin, func(ctx context.Context, args []string) error {
+		if _, err := netip.ParseAddr(args[1]); err != nil {
+			return usage("CLIENT: %v", err)
+		}
+		content, err := a.askAdmin(ctx, "/v1/explain", url.Values{"service": {args[0]}, "client": {args[1]}})
+		if err != nil {
+			return err
+		}
+		var indented bytes.Buffer
+		if err := json.Indent(&indented, bytes.TrimSpace(content), "", "  "); err != nil {
+			return errors.Annotate(err, "decode /v1/explain")
+		}
+		a.print("%s", indented.String())
+		return nil
+	})
+}
--- /dev/null
+++ b/entry/dedup/deduper_test.go
@@ -0,0 +1,386 @@
+package dedup
+
+import (
+	"bytes"
+	"context"
+	"flag"
+	"fmt"
+	"maps"
+	"slices"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/vmihailenco/msgpack/v5"
+	"go.uber.org/goleak"
+	"go.uber.org/zap"
+	"gotest.tools/v3/assert"
+	"pgregory.net/rapid"
+
+	"ebonyrouter.dev/core"
+	"ebonyrouter.dev/core/store"
+)
+
+const retentionS = 3600
+
+func TestMain(m *testing.M) {
+	_ = flag.Set("rapid.seed", "20261204") // a fixed seed makes every run the same; the command line may name another
+	goleak.VerifyTestMain(m)
+}
+
+// sameShard returns n keys of one shard.
+func sameShard(n int) []string {
+	var keys []string
+	for i := 0; len(keys) < n; i++ {
+		key := fmt.Sprintf("k%d", i)
+		if shardOf(hashOf("s", "", key)) == 0 {
+			keys = append(keys, key)
+		}
+	}
+	return keys
+}
+
+// model checks what callers were told about the keys.
+type model struct {
+	attempt int
+	done    map[string][]byte
+	// finished holds the keys whose outcome was reported, even if the report failed.
+	finished map[string]bool
+	mu       sync.Mutex
+	// runs holds the attempts by key that were told to run and whose not-run outcome was not reported.
+	runs map[string][]core.DedupRequest
+	tb   rapid.TB
+}
+
+// begin runs one attempt and checks the answer.
+func (m *model) begin(ctx context.Context, d core.Deduper, key string) (core.DedupState, error) {
+	m.mu.Lock()
+	m.attempt++
+	request := core.DedupRequest{Attempt: fmt.Sprint(m.attempt), Key: key, RetentionS: retentionS, Service: "s"}
+	m.mu.Unlock()
+	result, err := d.Begin(ctx, request)
+	if err != nil {
+		return "", err
+	}
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if result.State == core.DedupNew {
+		m.runs[key] = append(m.runs[key], request)
+		if len(m.runs[key]) > 1 {
+			m.tb.Errorf("key %s: attempts %v may all run", key, m.runs[key])
+		}
+	}
+	if body := m.done[key]; body != nil && (result.State != core.DedupDone || !bytes.Equal(result.Outcome.Body, body)) {
+		m.tb.Errorf("key %s: recorded outcome is reported as %s", key, result.State)
+	}
+	return result.State, nil
+}
+
+// finish reports the outcome of the attempt that runs.
+func (m *model) finish(d core.Deduper, key string, ran core.Ran) {
+	if len(m.runs[key]) == 0 || m.finished[key] {
+		return
+	}
+	request := m.runs[key][0]
+	outcome := core.DedupOutcome{Ran: ran, Status: 200}
+	if ran == core.RanYes {
+		outcome.Body = bytes.Repeat([]byte(request.Attempt), 20_000)
+		m.finished[key] = true
+	} else {
+		m.runs[key] = nil
+	}
+	if d.Finish(context.Background(), request, outcome) == nil && ran == core.RanYes {
+		m.done[key] = outcome.Body
+	}
+}
+
+// Guards against two attempts of one key that are both told to run, a recorded answer that is lost, and a key
+// that stays blocked by an attempt that never ran; with lost answers, late writes, outages and two writers. With a
+// preferred writer, requests and replies on the links are lost or late as well, so that one attempt is begun by two
+// processes; a request that arrives after the attempt has ended can block its key and is left out of that check.
+func TestAtMostOneAttemptRuns(t *testing.T) {
+	tests := map[string]struct{ remote, late bool }{
+		"local":            {false, false},
+		"preferred writer": {true, false},
+		"late requests":    {true, true},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			rapid.Check(t, func(rt *rapid.T) { checkRuns(rt, test.remote, test.late) })
+		})
+	}
+}
+
+func checkRuns(rt *rapid.T, remote, late bool) {
+	keys := sameShard(8)
+	store := newStore(rapid.Uint64().Draw(rt, "store seed"))
+	links := newNetwork(rapid.Uint64().Draw(rt, "network seed"), 2)
+	links.faults, links.lateToo = true, late
+	var locals []*Deduper
+	var hosts []core.Deduper
+	for i := range 2 {
+		d := New(Config{Log: zap.NewNop(), Store: store, Timer: fakeTimer{}, UnixMs: func() int64 { return 1e12 }})
+		defer d.Close()
+		locals = append(locals, d)
+		hosts = append(hosts, d)
+		if remote {
+			hosts[i] = links.join(i, d, fakeTimer{hurried: true})
+		}
+	}
+	m := &model{done: map[string][]byte{}, finished: map[string]bool{}, runs: map[string][]core.DedupRequest{}, tb: rt}
+	store.set(true, false)
+	for range 40 {
+		key := rapid.SampledFrom(keys).Draw(rt, "key")
+		host := hosts[rapid.IntRange(0, 1).Draw(rt, "host")]
+		switch rapid.IntRange(0, 9).Draw(rt, "action") {
+		case 0:
+			store.set(true, rapid.Bool().Draw(rt, "down"))
+		case 1:
+			m.finish(host, key, core.RanNo)
+		case 2, 3:
+			m.finish(host, key, core.RanYes)
+		case 4:
+			ctx, cancel := context.WithCancel(context.Background())
+			cancel()
+			_, _ = m.begin(ctx, host, key)
+		case 5, 6, 7:
+			_, _ = m.begin(context.Background(), host, key)
+		default:
+			var tries sync.WaitGroup
+			for i := range 4 {
+				tries.Go(func() { _, _ = m.begin(context.Background(), hosts[i%2], key) })
+			}
+			tries.Wait()
+		}
+	}
+	store.set(false, false)
+	links.late.Wait()
+	for _, d := range locals {
+		for d.busy() {
+			time.Sleep(time.Millisecond)
+		}
+	}
+	store.flush()
+	for _, key := range keys {
+		if !late {
+			m.settles(rt, locals[0], key)
+		}
+	}
+}
+
+// busy reports whether a shard has ops.
+func (d *Deduper) busy() bool {
+	d.mu.Lock()
+	shards := slices.Collect(maps.Values(d.shards))
+	d.mu.Unlock()
+	for _, s := range shards {
+		if _, _, idle := s.cached(); !idle {
+			return true
+		}
+	}
+	return false
+}
+
+// settles checks that a key without a running attempt is free soon after the store is well.
+func (m *model) settles(rt *rapid.T, d core.Deduper, key string) {
+	for range 2000 {
+		_, err := m.begin(context.Background(), d, key)
+		if err == nil && (len(m.runs[key]) > 0 || m.done[key] != nil) {
+			return
+		}
+		time.Sleep(time.Millisecond)
+	}
+	rt.Errorf("key %s: blocked by an attempt that never ran", key)
+}
+
+func TestRecords(t *testing.T) {
+	request := core.DedupRequest{Attempt: "a", Fingerprint: "f", Key: "k", RetentionS: retentionS, Service: "s"}
+	other := request
+	other.Attempt = "b"
+	var now atomic.Int64
+	tests := map[string]struct {
+		failure string
+		outcome core.DedupOutcome
+		afterS  int64
+		edit    func(*core.DedupRequest)
+		state   core.DedupState
+	}{
+		"running":     {"a second run beside the first", core.DedupOutcome{}, 0, nil, core.DedupRunning},
+		"lost holder": {"a promise of an answer that never comes", core.DedupOutcome{}, 100, nil, core.DedupUnknown},
+		"unknown":     {"a second run after a lost answer", core.DedupOutcome{Ran: core.RanUnknown}, 0, nil, core.DedupUnknown},
+		"done":        {"a second run after the first", core.DedupOutcome{Ran: core.RanYes}, 0, nil, core.DedupDone},
+		"expired":     {"records that are kept for ever", core.DedupOutcome{Ran: core.RanYes}, retentionS + 100, nil, core.DedupNew},
+		"not run":     {"a key that stays blocked", core.DedupOutcome{Ran: core.RanNo}, 0, nil, core.DedupNew},
+		"mismatch": {
+			"the answer of a different request",
+			core.DedupOutcome{Ran: core.RanYes},
+			0,
+			func(q *core.DedupRequest) { q.Fingerprint = "g" }, core.DedupMismatch,
+		},
+		"expired while paused": {"an old holder that overwrites a newer attempt", core.DedupOutcome{}, retentionS + 100, nil, core.DedupNew},
+		"tenant": {
+			"an answer shown to another tenant",
+			core.DedupOutcome{Ran: core.RanYes},
+			0,
+			func(q *core.DedupRequest) { q.Tenant = "t" }, core.DedupNew,
+		},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			t.Log("guards against", test.failure)
+			now.Store(1e12)
+			store := newStore(1)
+			first := New(Config{Log: zap.NewNop(), Store: store, Timer: fakeTimer{}, UnixMs: now.Load})
+			defer first.Close()
+			second := New(Config{Log: zap.NewNop(), Store: store, Timer: fakeTimer{}, UnixMs: now.Load})
+			defer second.Close()
+			result, err := first.Begin(t.Context(), request)
+			assert.NilError(t, err)
+			assert.Equal(t, result.State, core.DedupNew)
+			if test.outcome.Ran != "" {
+				assert.NilError(t, first.Finish(t.Context(), request, test.outcome))
+			}
+			now.Add(test.afterS * 1000)
+			other := other
+			if test.edit != nil {
+				test.edit(&other)
+			}
+			result, err = second.Begin(t.Context(), other)
+			assert.NilError(t, err)
+			assert.Equal(t, result.State, test.state)
+			if test.state == core.DedupNew && test.edit == nil && test.outcome.Ran != core.RanYes {
+				assert.ErrorIs(t, first.Finish(t.Context(), request, core.DedupOutcome{Ran: core.RanYes}), errFenced)
+			}
+		})
+	}
+}
+
+// Guards against a head that outgrows the store, segments that are never deleted or merged, and records lost by
+// sealing and merging.
+func TestSealing(t *testing.T) {
+	var now atomic.Int64
+	now.Store(1e12)
+	store := newStore(1)
+	d := New(Config{Log: zap.NewNop(), Store: store, Timer: fakeTimer{}, UnixMs: now.Load})
+	defer d.Close()
+	keys := sameShard(150)
+	book := func(from, to int) {
+		for _, key := range keys[from:to] {
+			request := core.DedupRequest{Attempt: "a", Key: key, RetentionS: retentionS, Service: "s"}
+			_, err := d.Begin(t.Context(), request)
+			assert.NilError(t, err)
+			outcome := core.DedupOutcome{Body: make([]byte, 10_000), Ran: core.RanYes}
+			assert.NilError(t, d.Finish(t.Context(), request, outcome))
+		}
+	}
+	book(0, 30)
+	assert.Assert(t, store.count("seg-") >= 3)
+	book(30, 60)
+	segments := store.count("seg-")
+	assert.Assert(t, segments < 3*mergeSegments, "%d segments are not merged", segments)
+	cold := New(Config{Log: zap.NewNop(), Store: store, Timer: fakeTimer{}, UnixMs: now.Load})
+	defer cold.Close()
+	for _, key := range keys[:60] {
+		result, err := cold.Begin(t.Context(), core.DedupRequest{Attempt: "b", Key: key, RetentionS: retentionS, Service: "s"})
+		assert.NilError(t, err)
+		assert.Equal(t, result.State, core.DedupDone)
+		assert.Equal(t, len(result.Outcome.Body), 10_000)
+	}
+	now.Add((retentionS + 100) * 1000)
+	book(60, 90)
+	assert.Assert(t, store.count("seg-") <= 5, "%d segments", store.count("seg-"))
+}
+
+// Guards against records that are lost when a segment is sealed or merged while answers of the store are lost.
+func TestSealingWithFaults(t *testing.T) {
+	store := newStore(7)
+	store.set(true, false)
+	d := New(Config{Log: zap.NewNop(), Store: store, Timer: fakeTimer{}, UnixMs: func() int64 { return 1e12 }})
+	defer d.Close()
+	var recorded []string
+	for _, key := range sameShard(300) {
+		request := core.DedupRequest{Attempt: "a" + key, Key: key, RetentionS: retentionS, Service: "s"}
+		result, err := d.Begin(t.Context(), request)
+		if err != nil {
+			continue
+		}
+		assert.Equal(t, result.State, core.DedupNew)
+		if d.Finish(t.Context(), request, core.DedupOutcome{Body: make([]byte, 10_000), Ran: core.RanYes}) == nil {
+			recorded = append(recorded, key)
+		}
+	}
+	store.set(false, false)
+	store.flush()
+	assert.Assert(t, len(recorded) > 100, "%d keys recorded", len(recorded))
+	cold := New(Config{Log: zap.NewNop(), Store: store, Timer: fakeTimer{}, UnixMs: func() int64 { return 1e12 }})
+	defer cold.Close()
+	for _, key := range recorded {
+		result, err := cold.Begin(t.Context(), core.DedupRequest{Attempt: "b", Key: key, RetentionS: retentionS, Service: "s"})
+		assert.NilError(t, err)
+		assert.Equal(t, result.State, core.DedupDone, key)
+	}
+}
+
+// Guards against records that cannot be written as long as each answer of the store is lost after the write took effect:
+// a segment whose answer was lost was written again under the next number, and its batch gave up after 32 of them.
+func TestSealingWithoutAnswers(t *testing.T) {
+	memory := store.NewMemory()
+	memory.SetFaults(store.Faults{LostAnswers: -1})
+	d := New(Config{Log: zap.NewNop(), Store: memory, Timer: fakeTimer{}, UnixMs: func() int64 { return 1e12 }})
+	defer d.Close()
+	outcome := core.DedupOutcome{
+		Body: make([]byte, 10_000), Header: map[string][]string{"A": {"1"}, "B": {"2"}, "C": {"3"}}, Ran: core.RanYes,
+	}
+	for _, key := range sameShard(100) {
+		request := core.DedupRequest{Attempt: "a" + key, Key: key, RetentionS: retentionS, Service: "s"}
+		result, err := d.Begin(t.Context(), request)
+		assert.NilError(t, err)
+		assert.Equal(t, result.State, core.DedupNew)
+		assert.NilError(t, d.Finish(t.Context(), request, outcome))
+	}
+}
+
+// Guards against an answer that is lost although Finish succeeded: the preferred writer keeps an outcome without its
+// body while the store is away, and records it before the fallback records the whole one.
+func TestFinishAfterTruncated(t *testing.T) {
+	d := New(Config{Log: zap.NewNop(), Store: newStore(1), Timer: fakeTimer{}, UnixMs: func() int64 { return 1e12 }})
+	defer d.Close()
+	request := core.DedupRequest{Attempt: "a", Key: "k", RetentionS: retentionS, Service: "s"}
+	_, err := d.Begin(t.Context(), request)
+	assert.NilError(t, err)
+	whole := core.DedupOutcome{Body: []byte("answer"), Ran: core.RanYes, Status: 200}
+	truncated := core.DedupOutcome{Ran: core.RanYes, Status: 200, Truncated: true}
+	for _, outcome := range []core.DedupOutcome{truncated, whole, truncated} {
+		assert.NilError(t, d.Finish(t.Context(), request, outcome))
+	}
+	request.Attempt = "b"
+	result, err := d.Begin(t.Context(), request)
+	assert.NilError(t, err)
+	assert.DeepEqual(t, result, core.DedupResult{Outcome: whole, State: core.DedupDone})
+}
+
+// Guards against a key that runs twice because its record is in a shard of another layout, where it is not looked for.
+func TestOtherLayout(t *testing.T) {
+	other, err := msgpack.Marshal(&layout{Shards: 2 * shardCount})
+	assert.NilError(t, err)
+	tests := map[string]struct {
+		key, want string
+		value     []byte
+	}{
+		"other number of shards": {"dedup/s/layout", "service \"s\": records are kept in", other},
+		"records without layout": {"dedup/s/63/head", "service \"s\": 1 objects without a layout, such as dedup/s/63/head", nil},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			store := newStore(1)
+			_, err := store.apply(test.key, test.value, 0)
+			assert.NilError(t, err)
+			d := New(Config{Log: zap.NewNop(), Store: store, Timer: fakeTimer{}, UnixMs: func() int64 { return 1e12 }})
+			defer d.Close()
+			_, err = d.Begin(t.Context(), core.DedupRequest{Attempt: "a", Key: "k", RetentionS: retentionS, Service: "s"})
+			assert.ErrorContains(t, err, test.want)
+			assert.Equal(t, store.writes, 0)
+		})
+	}
+}
--- /dev/null
+++ b/entry/dedup/head.go
@@ -0,0 +1,107 @@
+package dedup
+
+import (
+	"bytes"
+	"slices"
+
+	"github.com/juju/errors"
+	"github.com/vmihailenco/msgpack/v5"
+
+	"ebonyrouter.dev/core"
+)
+
+var _ core.Validator = (*head)(nil)
+
+// head is the object of a shard that changes; Segment is the number of the next segment.
+type head struct {
+	Records []record        `msgpack:"records"`
+	Sealed  []sealedSegment `msgpack:"sealed"`
+	Segment int64           `msgpack:"segment"`
+}
+
+// sealedSegment names an immutable segment; a segment that no head names does not count.
+type sealedSegment struct {
+	Bytes     int   `msgpack:"bytes"`
+	ExpiresMs int64 `msgpack:"expires_ms"`
+	Number    int64 `msgpack:"number"`
+}
+
+// Validate implements core.Validator.Validate.
+func (h *head) Validate() error {
+	for i := range h.Records {
+		if err := h.Records[i].Validate(); err != nil {
+			return err
+		}
+	}
+	for _, s := range h.Sealed {
+		if s.Number >= h.Segment {
+			return errors.Errorf("sealed segment %d is not below the next segment %d", s.Number, h.Segment)
+		}
+	}
+	return nil
+}
+
+// clone returns a copy whose lists may be changed; the records' contents are shared.
+func (h *head) clone() *head {
+	return &head{Records: slices.Clone(h.Records), Sealed: slices.Clone(h.Sealed), Segment: h.Segment}
+}
+
+// find returns the index of the record of key, or -1.
+func (h *head) find(key []byte) int {
+	return findRecord(h.Records, key)
+}
+
+// mergeable returns the newest sealed segments if there are enough small ones to become one with size more bytes.
+func (h *head) mergeable(size int) []sealedSegment {
+	first := len(h.Sealed)
+	for first > 0 {
+		s := h.Sealed[first-1]
+		if s.Bytes >= smallSegmentBytes || size+s.Bytes > maxSegmentBytes {
+			break
+		}
+		size += s.Bytes
+		first--
+	}
+	if len(h.Sealed)-first < mergeSegments {
+		return nil
+	}
+	return h.Sealed[first:]
+}
+
+// running counts the records without outcome.
+func (h *head) running() int {
+	count := 0
+	for i := range h.Records {
+		if h.Records[i].State == core.DedupRunning {
+			count++
+		}
+	}
+	return count
+}
+
+// decodeHead decodes and validates a head.
+func decodeHead(data []byte) (*head, error) {
+	h := &head{}
+	if err := msgpack.Unmarshal(data, h); err != nil {
+		return nil, errors.Annotate(err, "cannot decode head")
+	}
+	return h, errors.Annotate(h.Validate(), "invalid head")
+}
+
+// decodeRecords decodes and validates the records of a segment.
+func decodeRecords(data []byte) ([]record, error) {
+	var records []record
+	if err := msgpack.Unmarshal(data, &records); err != nil {
+		return nil, errors.Annotate(err, "cannot decode segment")
+	}
+	for i := range records {
+		if err := records[i].Validate(); err != nil {
+			return nil, errors.Annotate(err, "invalid segment")
+		}
+	}
+	return records, nil
+}
+
+func findRecord(records []record, key []byte) int {
+	return slices.IndexFunc(records, func(r record) bool { return bytes.Equal(r.Key, key) })
+}
--- /dev/null
+++ b/entry/explain.go
@@ -0,0 +1,102 @@
+package main
+
+import (
+	"net/netip"
+	"slices"
+	"strings"
+	"time"
+
+	"ebonyrouter.dev/core"
+)
+
+// explanation shows an operator how this process would decide about a request now.
+type explanation struct {
+	Client  string               `json:"client,omitempty"`
+	Error   string               `json:"error,omitempty"`
+	Hop     string               `json:"hop,omitempty"`
+	HopHost string               `json:"hop_host,omitempty"`
+	Local   core.ServiceLoad     `json:"local"`
+	Lookup  core.LookupAnswer    `json:"lookup"`
+	Policy  core.EffectivePolicy `json:"policy"`
+	Service string               `json:"service"`
+	Targets []explainedTarget    `json:"targets"`
+	Zone    string               `json:"zone"`
+}
+
+// explainedTarget shows who may use a target of the own region.
+type explainedTarget struct {
+	InUse   int    `json:"in_use"`
+	LeaseMs int64  `json:"lease_ms"`
+	Owner   string `json:"owner"`
+	Slots   int    `json:"slots"`
+	Target  string `json:"target"`
+	Zone    string `json:"zone"`
+}
+
+// explain returns the decision for a service and a client address, either of which may be unknown.
+func (p *process) explain(service, client string) explanation {
+	e := explanation{Client: client, Service: service, Zone: *p.options.Zone}
+	snapshot := p.settings.Current()
+	if snapshot == nil {
+		e.Error = "no settings in force"
+		return e
+	}
+	if _, ok := snapshot.Settings.Services[service]; !ok {
+		e.Error = "service " + service + " is not in the settings"
+		return e
+	}
+	e.Policy = snapshot.Policies[service][*p.options.Zone]
+	e.Local = p.limiter.ServiceLoad(service)
+	e.Targets = p.explainTargets(snapshot, service)
+	p.explainLookup(&e)
+	p.explainHop(&e)
+	return e
+}
+
+func (p *process) explainHop(e *explanation) {
+	deadline := p.timer.Now().Add(time.Duration(e.Policy.DeadlineMs) * time.Millisecond)
+	hop, err := p.router.Route(core.RouteRequest{AdmitRequest: core.AdmitRequest{
+		Deadline: deadline, FromRegion: *p.options.Region, Service: e.Service,
+	}})
+	if err != nil {
+		e.Error = err.Error()
+		return
+	}
+	e.Hop = string(hop.Kind)
+	e.HopHost = hop.Peer.Host
+}
+
+func (p *process) explainLookup(e *explanation) {
+	address, err := netip.ParseAddr(e.Client)
+	if err != nil {
+		return
+	}
+	answer, err := p.lookup.Lookup(e.Service, address)
+	if err != nil {
+		e.Error = err.Error()
+		return
+	}
+	e.Lookup = answer
+}
+
+func (p *process) explainTargets(snapshot *core.Snapshot, service string) []explainedTarget {
+	used := p.limiter.InUse()
+	now := p.timer.Now()
+	var targets []explainedTarget
+	for name, target := range snapshot.Settings.Services[service].Targets {
+		if snapshot.RegionOf[target.Zone] != *p.options.Region {
+			continue
+		}
+		object := core.TargetObject(service, name)
+		t := explainedTarget{InUse: used[object], Slots: target.Slots, Target: name, Zone: target.Zone}
+		if owner, ok := p.holder.Owner(*p.options.Region, object); ok {
+			t.Owner = owner.Host
+		}
+		if until, ok := p.holder.Owns(object); ok {
+			t.LeaseMs = until.Sub(now).Milliseconds()
+		}
+		targets = append(targets, t)
+	}
+	slices.SortFunc(targets, func(a, b explainedTarget) int { return strings.Compare(a.Target, b.Target) })
+	return targets
+}
--- /dev/null
+++ b/entry/lease/fakes_test.go
@@ -0,0 +1,27 @@
+package lease
+
+import (
+	"time"
+
+	"ebonyrouter.dev/core"
+)
+
+// clock is a timer whose time moves only by hand; its channels never tick.
+type clock struct {
+	now core.Instant
+}
+
+func (c *clock) After(time.Duration) <-chan core.Instant { return nil }
+
+func (c *clock) C() <-chan core.Instant { return nil }
+
+func (c *clock) Now() core.Instant { return c.now }
+
+func (c *clock) Stop() {}
+
+func (c *clock) Subscribe(time.Duration) core.Subscription { return c }
+
+// hostList is a fixed view of hosts.
+type hostList []core.Host
+
+func (l hostList) Hosts() []core.Host { return l }
--- /dev/null
+++ b/entry/lease/grantee_key.go
@@ -0,0 +1,7 @@
+package lease
+
+// granteeKey names a member of any region.
+type granteeKey struct {
+	host   string
+	region string
+}
--- /dev/null
+++ b/entry/lease/index.go
@@ -0,0 +1,30 @@
+package lease
+
+import (
+	"sync/atomic"
+
+	"ebonyrouter.dev/core"
+)
+
+// hostIndex finds hosts by name and is rebuilt when the view returns another slice.
+type hostIndex struct {
+	table atomic.Pointer[hostTable]
+}
+
+// find returns the registration of the named host.
+func (i *hostIndex) find(view core.HostView, name string) (core.Host, bool) {
+	hosts := view.Hosts()
+	if len(hosts) == 0 {
+		return core.Host{}, false
+	}
+	t := i.table.Load()
+	if t == nil || t.first != &hosts[0] || t.count != len(hosts) {
+		t = newHostTable(hosts)
+		i.table.Store(t)
+	}
+	n, ok := t.byName[name]
+	if !ok {
+		return core.Host{}, false
+	}
+	return hosts[n], true
+}
--- /dev/null
+++ b/entry/limit/flow.go
@@ -0,0 +1,79 @@
+package limit
+
+import (
+	"container/heap"
+
+	"ebonyrouter.dev/core"
+)
+
+var _ heap.Interface = (*flow)(nil)
+
+// flow holds the waiters of one class and tenant as a heap ordered by deadline.
+type flow struct {
+	batch bool
+	// last is the latest deadline that any waiter of the flow has had.
+	last    core.Instant
+	served  int64
+	tenant  string
+	waiters []*waiter
+}
+
+// Len implements heap.Interface.Len.
+func (f *flow) Len() int {
+	return len(f.waiters)
+}
+
+// Less implements heap.Interface.Less.
+func (f *flow) Less(i, j int) bool {
+	return f.waiters[i].before(f.waiters[j])
+}
+
+// Pop implements heap.Interface.Pop.
+func (f *flow) Pop() any {
+	last := len(f.waiters) - 1
+	w := f.waiters[last]
+	f.waiters[last] = nil
+	f.waiters = f.waiters[:last]
+	w.index = -1
+	return w
+}
+
+// Push implements heap.Interface.Push.
+func (f *flow) Push(x any) {
+	w := x.(*waiter)
+	w.index = len(f.waiters)
+	f.last = max(f.last, w.request.Deadline)
+	f.waiters = append(f.waiters, w)
+}
+
+// Swap implements heap.Interface.Swap.
+func (f *flow) Swap(i, j int) {
+	f.waiters[i], f.waiters[j] = f.waiters[j], f.waiters[i]
+	f.waiters[i].index = i
+	f.waiters[j].index = j
+}
+
+// ahead counts the waiters with an earlier deadline than w, which is not in the flow yet.
+func (f *flow) ahead(w *waiter) int {
+	if !w.request.Deadline.Before(f.last) {
+		return len(f.waiters)
+	}
+	count := 0
+	for _, other := range f.waiters {
+		if other.before(w) {
+			count++
+		}
+	}
+	return count
+}
+
+// latest returns the waiter with the latest deadline.
+func (f *flow) latest() *waiter {
+	var latest *waiter
+	for _, w := range f.waiters {
+		if latest == nil || latest.before(w) {
+			latest = w
+		}
+	}
+	return latest
+}
--- /dev/null
+++ b/entry/metrics.go
@@ -0,0 +1,15 @@
+package main
+
+// dedupMetrics defines the metrics of idempotency records.
+func (p *process) dedupMetrics() {
+	for name, value := range map[string]func() int64{
+		"ebony_dedup_fallbacks_total": func() int64 { return p.writers.Stats().Fallbacks },
+		"ebony_dedup_handled_total":   func() int64 { return p.writers.Stats().Handled },
+		"ebony_dedup_local_total":     func() int64 { return p.writers.Stats().Local },
+		"ebony_dedup_sent_total":      func() int64 { return p.writers.Stats().Sent },
+		"ebony_dedup_recorded_total":  func() int64 { return p.dedup.Stats().Ops },
+		"ebony_dedup_writes_total":    func() int64 { return p.dedup.Stats().Writes },
+	} {
+		p.meter.Gauge(name, func() float64 { return float64(value()) })
+	}
+}
--- /dev/null
+++ b/entry/observer_test.go
@@ -0,0 +1,45 @@
+package main
+
+import (
+	"net/http/httptest"
+	"strings"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"ebonyrouter.dev/core"
+	"ebonyrouter.dev/core/codes"
+	"ebonyrouter.dev/core/meter"
+)
+
+// Guards against requests that are counted under the result of another one.
+func TestObserverCountsByResult(t *testing.T) {
+	o := &observer{meter: meter.New()}
+	for range 2 {
+		o.ObserveRequest(core.RequestReport{Code: codes.OK, Ran: core.RanYes, Service: "s"})
+	}
+	o.ObserveRequest(core.RequestReport{Code: codes.OK, Ran: core.RanYes, Relayed: true, Service: "s"})
+	o.ObserveRequest(core.RequestReport{Code: codes.QueueFull, Ran: core.RanNo, Service: "s"})
+	page := httptest.NewRecorder()
+	o.meter.Handler().ServeHTTP(page, httptest.NewRequestWithContext(t.Context(), "GET", "/metrics", nil))
+	for _, line := range []string{
+		`ebony_requests_total{code="1000",ran="yes",relayed="false"} 2`,
+		`ebony_requests_total{code="1000",ran="yes",relayed="true"} 1`,
+		`ebony_requests_total{code="3002",ran="no",relayed="false"} 1`,
+	} {
+		assert.Assert(t, strings.Contains(page.Body.String(), line), line)
+	}
+}
+
+// BenchmarkObserve measures what counting one finished request takes.
+func BenchmarkObserve(b *testing.B) {
+	o := &observer{meter: meter.New()}
+	report := core.RequestReport{Class: "interactive", Code: codes.OK, Latency: time.Millisecond, Ran: core.RanYes, Service: "s"}
+	b.ReportAllocs()
+	b.RunParallel(func(pb *testing.PB) {
+		for pb.Next() {
+			o.ObserveRequest(report)
+		}
+	})
+}
--- /dev/null
+++ b/entry/process.go
@@ -0,0 +1,317 @@
+package main
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"os"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/juju/errors"
+	"go.uber.org/zap"
+
+	"ebonyrouter.dev/core"
+	"ebonyrouter.dev/core/admin"
+	"ebonyrouter.dev/core/codes"
+	"ebonyrouter.dev/core/config"
+	"ebonyrouter.dev/core/event"
+	"ebonyrouter.dev/core/flags"
+	"ebonyrouter.dev/core/links"
+	"ebonyrouter.dev/core/meter"
+	"ebonyrouter.dev/core/pubsub"
+	"ebonyrouter.dev/core/store"
+	"ebonyrouter.dev/core/timer"
+	"ebonyrouter.dev/entry/agent"
+	"ebonyrouter.dev/entry/dedup"
+	"ebonyrouter.dev/entry/lease"
+	"ebonyrouter.dev/entry/limit"
+	"ebonyrouter.dev/entry/lookup"
+	"ebonyrouter.dev/entry/proxy"
+	"ebonyrouter.dev/entry/retry"
+	"ebonyrouter.dev/entry/route"
+)
+
+const (
+	lookupPath        = "/v1/lookup"
+	readHeaderTimeout = 5 * time.Second
+	relayIdleTimeout  = time.Minute
+	// tasksThatMayFail are the message router and the three HTTP servers.
+	tasksThatMayFail = 4
+)
+
+// process is a running entry process.
+type process struct {
+	admin  *admin.Server
+	agent  *agent.Agent
+	caller *http.Server
+	// callerListener and relayListener are bound before the process takes part in anything.
+	callerListener net.Listener
+	dedup          *dedup.Deduper
+	deadlines      deadlines
+	gate           *gate
+	grantor        *lease.Grantor
+	holder         *lease.Holder
+	hosts          *agent.Hosts
+	limiter        *limit.Limiter
+	links          *links.Manager
+	linkUsers      *links.Shared
+	log            *zap.Logger
+	loader         *lookup.Loader
+	lookup         *lookup.Ranker
+	messages       *pubsub.Messenger
+	meter          *meter.Meter
+	options        options
+	proxy          *proxy.Proxy
+	relay          *http.Server
+	relayListener  net.Listener
+	router         *route.Router
+	settings       *config.Holder
+	state          atomic.Value
+	timer          core.Timer
+	writers        *dedup.Remote
+}
+
+func newProcess(o options, log *zap.Logger) (*process, error) {
+	clock, err := timer.NewSystem()
+	if err != nil {
+		return nil, errors.Trace(err)
+	}
+	p := &process{hosts: &agent.Hosts{}, log: log, meter: meter.New(), options: o, settings: config.NewHolder(), timer: clock}
+	p.state.Store(core.HostStarting)
+	p.settings.Subscribe(p.deadlines.adopt)
+	p.links, err = links.New(clock, log, links.WithHandlers(dedup.RemoteHandlers),
+		links.WithAdvertise(*o.Link),
+		links.WithListen(o.Listen(*o.Link)), links.WithSource(o.Source()), links.WithToken(*o.Token))
+	if err != nil {
+		return nil, errors.Trace(err)
+	}
+	p.linkUsers = links.NewShared(p.links)
+	p.links.Export(p.meter)
+	p.messages, err = pubsub.NewMessenger(p.links)
+	if err != nil {
+		return nil, errors.Trace(err)
+	}
+	p.newLease()
+	p.newRequestPath()
+	p.newAgent()
+	p.exportGauges()
+	return p, errors.Trace(p.newServers())
+}
+
+// newAgent connects the process to its steer and peers.
+func (p *process) newAgent() {
+	p.agent = agent.New(agent.Config{
+		Adopt:        &adopter{holder: p.holder, settings: p.settings},
+		InFlight:     p.gate.InFlight,
+		InUse:        p.limiter.InUse,
+		Lease:        p.holder,
+		LeaseLinks:   func() []string { return append(p.holder.Addresses(), p.grantor.Addresses()...) },
+		Links:        p.linkUsers.User(),
+		Load:         p.limiter.Load,
+		Log:          p.log,
+		Messages:     p.messages,
+		Peers:        *p.options.Peers,
+		Registration: p.registration,
+		Settings:     p.settings,
+		Steer:        *p.options.steer,
+		Timer:        p.timer,
+		Update:       p.router.Update,
+	}, p.hosts)
+}
+
+// newLease creates the lease holder and the grantor.
+func (p *process) newLease() {
+	p.holder = lease.NewHolder(*p.options.Host, *p.options.Region, flags.NewIncarnation(), *p.options.steer, p.timer, p.links, p.hosts,
+		lease.WithChanges(func() { p.limiter.Observe() }),
+		lease.WithDeadline(p.deadlines.of),
+		lease.WithInUse(func(object string) int { return p.limiter.InUse()[object] }),
+		lease.WithLogger(p.log),
+		lease.WithRejoin(func(string) { p.agent.SendStatus() }),
+	)
+	p.grantor = lease.NewGrantor(p.holder, p.hosts.StoreDown)
+	p.links.HandleRequest(core.TopicLeaseRenew, p.grantor.HandleRenew)
+	p.messages.HandleMessage(core.TopicLeaseAdvice, p.handleAdvice)
+	p.links.HandleMessage(core.TopicLeaseWithdrawn, p.grantor.HandleWithdrawn)
+}
+
+// newRequestPath creates the parts that requests pass.
+func (p *process) newRequestPath() {
+	p.limiter = limit.New(limit.Config{
+		Lease: p.holder, Region: *p.options.Region, Settings: p.settings, Timer: p.timer, Zone: *p.options.Zone,
+	})
+	p.router = route.New(route.Config{
+		Host: *p.options.Host, Links: p.links, Load: p.limiter, Ownership: p.holder,
+		Region: *p.options.Region, Settings: p.settings, Timer: p.timer, Zone: *p.options.Zone,
+	})
+	p.lookup = lookup.New(p.log, p.settings, p.hosts.Live())
+	client := store.NewClient(*p.options.Store, store.WithSource(p.options.Source()))
+	p.loader = lookup.NewLoader(p.log, p.settings, client, p.lookup)
+	p.dedup = dedup.New(dedup.Config{
+		Log: p.log, Store: client, Timer: p.timer, UnixMs: func() int64 { return time.Now().UnixMilli() },
+	})
+	p.writers = dedup.NewRemote(dedup.RemoteConfig{
+		Host: *p.options.Host, Hosts: p.hosts, Links: p.linkUsers.User(), Local: p.dedup, Log: p.log,
+		Region: *p.options.Region, Settings: p.settings, Timer: p.timer,
+	})
+	p.dedupMetrics()
+	p.proxy = proxy.New(proxy.Config{
+		Admitter: p.limiter,
+		Budget:   retry.New(p.settings, p.timer, *p.options.Zone),
+		Deduper:  p.writers,
+		Feedback: p.router,
+		Load:     p.limiter,
+		Log:      p.log,
+		Observer: &observer{meter: p.meter},
+		Router:   p.router,
+		Self:     p.registration(),
+		Settings: p.settings,
+		Shifter:  p.limiter,
+		Source:   p.options.Source(),
+		Timer:    p.timer,
+	})
+	p.gate = &gate{next: p.callerHandler()}
+}
+
+// newServers binds all addresses, so that a taken port is reported before the process takes part in anything.
+func (p *process) newServers() error {
+	var err error
+	p.admin, err = admin.New(p.log, p.options.Listen(*p.options.Admin), p.routes,
+		admin.WithMetrics(p.meter.Handler()), admin.WithReady(p.ready), admin.WithToken(*p.options.Token))
+	if err != nil {
+		return errors.Trace(err)
+	}
+	p.callerListener, err = listen(p.options.Listen(*p.options.caller))
+	if err != nil {
+		return errors.Trace(err)
+	}
+	p.relayListener, err = listen(p.options.Listen(*p.options.relay))
+	if err != nil {
+		return errors.Trace(err)
+	}
+	p.caller = &http.Server{Handler: p.gate, ReadHeaderTimeout: readHeaderTimeout}
+	// Peers keep idle connections for 20 s; closing them earlier here would race with their next request.
+	p.relay = &http.Server{Handler: p.proxy.RelayHandler(), IdleTimeout: relayIdleTimeout, ReadHeaderTimeout: readHeaderTimeout}
+	return nil
+}
+
+// callerHandler serves look-ups unless the request names a service, whose paths belong to its upstreams.
+func (p *process) callerHandler() http.Handler {
+	forward := p.proxy.CallerHandler()
+	lookups := p.lookup.Handler()
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if r.URL.Path == lookupPath && r.Header.Get(core.HeaderService) == "" && !p.servesHost(r.Host) {
+			lookups.ServeHTTP(w, r)
+			return
+		}
+		forward.ServeHTTP(w, r)
+	})
+}
+
+func (p *process) ready() error {
+	if err := p.settings.Current().CheckPlace(*p.options.Region, *p.options.Zone); err != nil {
+		return errors.Trace(err)
+	}
+	if state := p.state.Load(); state != core.HostReady {
+		return errors.Errorf("state is %s", state)
+	}
+	return nil
+}
+
+func (p *process) registration() core.Host {
+	state, _ := p.state.Load().(core.HostState)
+	return core.Host{
+		AdminAddress: *p.options.Admin,
+		EntryAddress: *p.options.caller,
+		Host:         *p.options.Host,
+		Incarnation:  p.holder.Incarnation(),
+		LinkAddress:  *p.options.Link,
+		Region:       *p.options.Region,
+		RelayAddress: *p.options.relay,
+		State:        state,
+		SteerAddress: *p.options.steer,
+		Zone:         *p.options.Zone,
+	}
+}
+
+// serve runs all tasks until the graceful stop has ended or a server fails.
+func (p *process) serve(ctx context.Context, signals <-chan os.Signal) error {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	failures := make(chan error, tasksThatMayFail)
+	var group sync.WaitGroup
+	group.Go(func() { p.agent.Run(ctx) })
+	group.Go(func() { p.holder.Run(ctx) })
+	group.Go(func() { p.grantor.Run(ctx) })
+	group.Go(func() { p.watchReady(ctx) })
+	group.Go(func() { p.lookup.Run(ctx, p.timer) })
+	group.Go(func() { p.loader.Run(ctx, p.timer) })
+	group.Go(func() { failures <- p.messages.Run(ctx) })
+	group.Go(func() { failures <- p.admin.Run(ctx) })
+	group.Go(func() { failures <- serveHTTP(p.caller, p.callerListener) })
+	group.Go(func() { failures <- serveHTTP(p.relay, p.relayListener) })
+	event.ProcessStarted.Write(p.log, zap.String("incarnation", p.holder.Incarnation()))
+	var err error
+	select {
+	case err = <-failures:
+	case <-signals:
+		err = p.drain(ctx, signals)
+	}
+	cancel()
+	_ = p.caller.Close()
+	_ = p.relay.Close()
+	group.Wait()
+	p.dedup.Close()
+	_ = p.proxy.Close()
+	p.limiter.Close()
+	if closeErr := p.links.Close(); err == nil {
+		err = closeErr
+	}
+	return errors.Trace(err)
+}
+
+// listen binds an address of the process settings.
+func listen(address string) (net.Listener, error) {
+	listener, err := new(net.ListenConfig).Listen(context.Background(), "tcp", address)
+	return listener, errors.Annotatef(err, "listen on %s (code %d)", address, codes.ListenFailed)
+}
+
+// serveHTTP serves until the server is closed.
+func serveHTTP(server *http.Server, listener net.Listener) error {
+	err := server.Serve(listener)
+	if errors.Is(err, http.ErrServerClosed) {
+		return nil
+	}
+	return errors.Annotatef(err, "serve on %s", listener.Addr())
+}
+
+func (p *process) servesHost(host string) bool {
+	snapshot := p.settings.Current()
+	if snapshot == nil {
+		return false
+	}
+	name, _, err := net.SplitHostPort(host)
+	if err != nil {
+		name = host
+	}
+	_, ok := snapshot.ServiceOf[name]
+	return ok
+}
+
+// watchReady changes the state from starting to ready as soon as settings are in force.
+func (p *process) watchReady(ctx context.Context) {
+	changes := p.timer.Subscribe(readyInterval)
+	defer changes.Stop()
+	for {
+		if p.settings.Current() != nil && p.state.CompareAndSwap(core.HostStarting, core.HostReady) {
+			p.agent.SendStatus()
+			return
+		}
+		select {
+		case <-ctx.Done():
+			return
+		case <-changes.C():
+		}
+	}
+}
--- /dev/null
+++ b/entry/proxy/config.go
@@ -0,0 +1,30 @@
+package proxy
+
+import (
+	"net"
+
+	"go.uber.org/zap"
+
+	"ebonyrouter.dev/core"
+)
+
+// Config holds what a Proxy needs; Deduper, Feedback, Load, Log and Observer may be nil.
+type Config struct {
+	Admitter core.Admitter
+	Budget   core.RetryBudget
+	Deduper  core.Deduper
+	// Feedback receives what the responses of peers show.
+	Feedback core.RouteFeedback
+	// Load is sent to peers with the responses to their requests.
+	Load     core.LoadSource
+	Log      *zap.Logger
+	Observer core.Observer
+	Router   core.Router
+	// Self is the registration of this process; Host, Region and Zone are used.
+	Self     core.Host
+	Settings core.SettingsSource
+	Shifter  core.Shifter
+	// Source is the local address of connections to peers and targets; nil lets the system choose.
+	Source net.Addr
+	Timer  core.Timer
+}
--- /dev/null
+++ b/entry/proxy/failure.go
@@ -0,0 +1,32 @@
+package proxy
+
+import (
+	"fmt"
+	"net/http"
+	"time"
+
+	"ebonyrouter.dev/core"
+	"ebonyrouter.dev/core/codes"
+)
+
+// failure is the error of a request or an attempt without a usable response.
+type failure struct {
+	code       codes.Code
+	ran        core.Ran
+	retryAfter time.Duration
+	status     int
+	text       string
+}
+
+// Error implements error.Error.
+func (f *failure) Error() string {
+	return fmt.Sprintf("%s (code %d, ran %s)", f.text, f.code, f.ran)
+}
+
+func callerFault(status int, code codes.Code, text string) *failure {
+	return &failure{code: code, ran: core.RanNo, status: status, text: text}
+}
+
+func notRun(code codes.Code, text string) *failure {
+	return &failure{code: code, ran: core.RanNo, retryAfter: time.Second, status: http.StatusServiceUnavailable, text: text}
+}
--- /dev/null
+++ b/entry/proxy/header.go
@@ -0,0 +1,38 @@
+package proxy
+
+import (
+	"net/http"
+	"net/textproto"
+	"strings"
+
+	"ebonyrouter.dev/core"
+)
+
+// hopByHop lists, in canonical form, the headers that concern one connection only (RFC 9110, section 7.6.1); Expect is answered by
+// this process, because it reads the body before it chooses a target.
+var hopByHop = []string{
+	"Connection", "Expect", "Keep-Alive", "Proxy-Authenticate", "Proxy-Authorization", "Proxy-Connection", "Te", "Trailer",
+	"Transfer-Encoding", "Upgrade",
+}
+
+// internal lists, in canonical form, the headers that only entry processes may set.
+var internal = []string{
+	core.HeaderAttempt, core.HeaderHops, core.HeaderLoad, core.HeaderRegion, core.HeaderRequestID, core.HeaderToRegion, core.HeaderTried,
+}
+
+func removeHopByHop(h http.Header) {
+	for _, line := range h["Connection"] {
+		for name := range strings.SplitSeq(line, ",") {
+			h.Del(textproto.TrimString(name))
+		}
+	}
+	for _, name := range hopByHop {
+		delete(h, name)
+	}
+}
+
+func removeInternal(h http.Header) {
+	for _, name := range internal {
+		delete(h, name)
+	}
+}
--- /dev/null
+++ b/entry/proxy/keyed.go
@@ -0,0 +1,124 @@
+package proxy
+
+import (
+	"context"
+	"crypto/sha256"
+	"encoding/hex"
+	"io"
+	"maps"
+	"net/http"
+	"strconv"
+	"strings"
+	"time"
+
+	"go.uber.org/zap"
+
+	"ebonyrouter.dev/core"
+	"ebonyrouter.dev/core/codes"
+	"ebonyrouter.dev/core/event"
+)
+
+// finishTimeout bounds the recording of an outcome; the caller does not wait for it.
+const finishTimeout = 5 * time.Second
+
+// dedupRequest identifies this attempt of a keyed request.
+func (r *request) dedupRequest() core.DedupRequest {
+	hash := sha256.New()
+	_, _ = io.WriteString(hash, r.incoming.Method+"\n"+r.incoming.URL.RequestURI()+"\n")
+	_, _ = hash.Write(r.body)
+	return core.DedupRequest{
+		Attempt:     r.id,
+		Fingerprint: hex.EncodeToString(hash.Sum(nil)),
+		Key:         r.key,
+		RetentionS:  r.policy.IdempotencyRetentionS,
+		Service:     r.service,
+		Tenant:      r.tenant,
+	}
+}
+
+// finish records the outcome of an attempt for which Begin returned DedupNew.
+func (p *Proxy) finish(ctx context.Context, request core.DedupRequest, outcome core.DedupOutcome) {
+	ctx, cancel := context.WithTimeout(ctx, finishTimeout)
+	defer cancel()
+	err := p.Deduper.Finish(ctx, request, outcome)
+	if err != nil {
+		event.RequestNotRecorded.Write(p.Log, zap.String("request_id", request.Attempt), zap.String("service", request.Service), zap.Error(err))
+	}
+}
+
+// replay answers with the recorded response.
+func (p *Proxy) replay(rq *request, outcome core.DedupOutcome) {
+	header := rq.writer.Header()
+	maps.Copy(header, http.Header(outcome.Header))
+	p.mark(rq, header, codes.KeyReplayed, core.RanYes)
+	header.Set("Content-Length", strconv.Itoa(len(outcome.Body)))
+	rq.writer.WriteHeader(outcome.Status)
+	_, _ = rq.writer.Write(outcome.Body)
+}
+
+// runKeyed runs the request and records its outcome, also when the response is cut off.
+func (p *Proxy) runKeyed(ctx context.Context, rq *request, request core.DedupRequest) {
+	rp := p.run(ctx, rq)
+	if rp.ran != core.RanYes {
+		p.finish(ctx, request, core.DedupOutcome{Ran: rq.ranAfter(rp.ran)})
+		p.answer(rq, rp, nil)
+		return
+	}
+	outcome := core.DedupOutcome{Ran: core.RanUnknown}
+	// The last bytes of the response leave when the handler returns, so the store is not waited for here.
+	defer func() { p.tasks.Go(func() { p.finish(ctx, request, outcome) }) }()
+	record := &recorder{limit: rq.policy.IdempotencyAnswerBytes}
+	header := recordedHeader(rp.response.Header)
+	p.respond(rq, rp, record)
+	outcome = core.DedupOutcome{
+		Body:      record.body,
+		Header:    header,
+		Ran:       core.RanYes,
+		Status:    rp.response.StatusCode,
+		Truncated: record.overflow || len(rp.response.Trailer) > 0,
+	}
+}
+
+// serveKeyed runs a keyed request at most once. The caller's going away does not cancel it: a retry can then
+// read the recorded response instead of being told that the request may have run.
+func (p *Proxy) serveKeyed(ctx context.Context, rq *request) {
+	ctx = context.WithoutCancel(ctx)
+	request := rq.dedupRequest()
+	beginCtx, cancel := context.WithTimeout(ctx, rq.deadline.Sub(p.Timer.Now()))
+	result, err := p.Deduper.Begin(beginCtx, request)
+	cancel()
+	if err != nil {
+		p.fail(rq, notRun(codes.KeyStoreUnavailable, "the idempotency key could not be recorded: "+err.Error()))
+		return
+	}
+	switch result.State {
+	case core.DedupNew:
+		p.runKeyed(ctx, rq, request)
+	case core.DedupDone:
+		if result.Outcome.Truncated {
+			p.fail(rq, &failure{code: codes.KeyAnswerNotRecorded, ran: core.RanYes, status: http.StatusConflict, text: "the request has run; its response was not recorded"})
+			return
+		}
+		p.replay(rq, result.Outcome)
+	case core.DedupRunning:
+		fault := broken(codes.KeyRunning, http.StatusConflict, "another attempt with this idempotency key is running")
+		fault.retryAfter = time.Second
+		p.fail(rq, fault)
+	case core.DedupMismatch:
+		p.fail(rq, callerFault(http.StatusUnprocessableEntity, codes.KeyMismatch, "the idempotency key was used for a different request"))
+	default:
+		p.fail(rq, broken(codes.KeyMayHaveRun, http.StatusConflict, "an attempt with this idempotency key may have run"))
+	}
+}
+
+// recordedHeader returns the headers of a response that are replayed.
+func recordedHeader(header http.Header) http.Header {
+	kept := header.Clone()
+	removeHopByHop(kept)
+	for name := range kept {
+		if strings.HasPrefix(name, "Ebony-") {
+			delete(kept, name)
+		}
+	}
+	return kept
+}
--- /dev/null
+++ b/entry/proxy/late_test.go
@@ -0,0 +1,48 @@
+package proxy
+
+import (
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"testing"
+	"time"
+
+	"go.uber.org/zap"
+	"gotest.tools/v3/assert"
+
+	"ebonyrouter.dev/core"
+)
+
+// Guards against a timeout reported for a response that arrived while this process was paused beyond the deadline: the
+// deadline of the connection is noticed before its data.
+func TestResponseAfterPause(t *testing.T) {
+	for name, method := range map[string]string{"idempotent": http.MethodGet, "booking": http.MethodPost} {
+		t.Run(name, func(t *testing.T) {
+			arrived := make(chan struct{})
+			up := newRawUpstream(t, func(_ int64, c net.Conn) {
+				_, _ = io.WriteString(c, okText)
+				close(arrived)
+				_, _ = io.Copy(io.Discard, c)
+			})
+			raw, err := net.Dial("tcp", up.address)
+			assert.NilError(t, err)
+			defer func() { _ = raw.Close() }()
+			<-arrived
+			time.Sleep(50 * time.Millisecond)
+			w := newWorld()
+			p := New(Config{Log: zap.NewNop(), Timer: w.timer})
+			defer func() { _ = p.Close() }()
+			now := w.timer.Now()
+			c := newConn(raw, &pool{timer: w.timer}, w.timer)
+			c.begin(now.Add(-time.Second), now.Add(-2*time.Second), nil)
+			rq := &request{deadline: now.Add(-time.Second), incoming: httptest.NewRequest(method, "/", nil)}
+			rp := &reply{conn: c, ran: core.RanUnknown}
+			assert.NilError(t, p.awaitHead(rq, rp, rq.incoming))
+			defer func() { _ = rp.response.Body.Close() }()
+			assert.Equal(t, rp.response.StatusCode, http.StatusOK)
+			_, err = io.ReadAll(rp.response.Body)
+			assert.NilError(t, err)
+		})
+	}
+}
--- /dev/null
+++ b/entry/proxy/limit_reader.go
@@ -0,0 +1,26 @@
+package proxy
+
+import (
+	"io"
+
+	"github.com/juju/errors"
+)
+
+// errBodyTooLarge means that a streamed body exceeded request_body_bytes.
+const errBodyTooLarge = errors.ConstError("request body too large")
+
+// limitReader fails once more than left bytes have been read.
+type limitReader struct {
+	left   int64
+	source io.Reader
+}
+
+// Read implements io.Reader.Read.
+func (l *limitReader) Read(data []byte) (int, error) {
+	n, err := l.source.Read(data)
+	l.left -= int64(n)
+	if l.left < 0 {
+		return 0, errBodyTooLarge
+	}
+	return n, err
+}
--- /dev/null
+++ b/entry/proxy/pool.go
@@ -0,0 +1,187 @@
+package proxy
+
+import (
+	"context"
+	"net"
+	"sync"
+	"time"
+
+	"ebonyrouter.dev/core"
+)
+
+// dialTimeout bounds one connection attempt; round trips between regions take 110 ms.
+const dialTimeout = time.Second
+
+// idleMax is the time after which an idle connection is closed; the servers of entry processes keep theirs longer.
+const idleMax = 20 * time.Second
+
+// pool holds the connections to one address and enforces the connection limit.
+type pool struct {
+	address string
+	idle    []*conn
+	limit   int
+	mutex   sync.Mutex
+	open    int
+	source  net.Addr
+	// suspectBefore marks connections opened before it as possibly silent.
+	suspectBefore core.Instant
+	timer         core.Timer
+	waiters       []chan struct{}
+}
+
+// close closes c, which the caller holds, and gives its place to a waiter.
+func (p *pool) close(c *conn) {
+	_ = c.raw.Close()
+	p.mutex.Lock()
+	defer p.mutex.Unlock()
+	p.freePlace()
+}
+
+// closeIdle closes the idle connections that match; the mutex is held.
+func (p *pool) closeIdle(match func(*conn) bool) {
+	kept := p.idle[:0]
+	for _, c := range p.idle {
+		if !match(c) {
+			kept = append(kept, c)
+			continue
+		}
+		_ = c.raw.Close()
+		p.freePlace()
+	}
+	clear(p.idle[len(kept):])
+	p.idle = kept
+}
+
+func (p *pool) dial(ctx context.Context, deadline core.Instant) (*conn, error) {
+	timeout := min(dialTimeout, deadline.Sub(p.timer.Now()))
+	dialer := net.Dialer{LocalAddr: p.source, Timeout: max(timeout, time.Millisecond)}
+	raw, err := dialer.DialContext(ctx, "tcp", p.address)
+	if err != nil {
+		p.mutex.Lock()
+		defer p.mutex.Unlock()
+		p.freePlace()
+		return nil, err
+	}
+	return newConn(raw, p, p.timer), nil
+}
+
+// freePlace counts one connection less and wakes a waiter; the mutex is held.
+func (p *pool) freePlace() {
+	p.open--
+	p.wake()
+}
+
+// get returns an idle connection or opens one; idleLimit is the longest acceptable idle time.
+func (p *pool) get(ctx context.Context, idleLimit time.Duration, deadline core.Instant) (*conn, error) {
+	for {
+		c, mayDial, wait := p.take(idleLimit)
+		if c != nil {
+			if c.alive() {
+				return c, nil
+			}
+			p.close(c)
+			continue
+		}
+		if mayDial {
+			return p.dial(ctx, deadline)
+		}
+		err := p.wait(ctx, wait, deadline)
+		if err != nil {
+			return nil, err
+		}
+	}
+}
+
+// leave removes a waiter, or passes its wake-up on when it was already woken.
+func (p *pool) leave(wait chan struct{}) {
+	p.mutex.Lock()
+	defer p.mutex.Unlock()
+	for n, w := range p.waiters {
+		if w == wait {
+			p.waiters = append(p.waiters[:n], p.waiters[n+1:]...)
+			return
+		}
+	}
+	p.wake()
+}
+
+// put returns a connection after a complete exchange.
+func (p *pool) put(c *conn) {
+	c.idleSince = p.timer.Now()
+	c.reused = true
+	p.mutex.Lock()
+	defer p.mutex.Unlock()
+	if c.openedAt.Before(p.suspectBefore) || p.open > p.limit {
+		_ = c.raw.Close()
+		p.freePlace()
+		return
+	}
+	p.idle = append(p.idle, c)
+	p.wake()
+}
+
+// suspect closes the idle connections opened before now and marks the busy ones to be closed when idle.
+func (p *pool) suspect(now core.Instant) {
+	p.mutex.Lock()
+	defer p.mutex.Unlock()
+	p.suspectBefore = now
+	p.closeIdle(func(c *conn) bool { return c.openedAt.Before(now) })
+}
+
+// sweep closes connections that have been idle for longer than idleMax and reports whether the pool is empty.
+func (p *pool) sweep(now core.Instant, all bool) bool {
+	p.mutex.Lock()
+	defer p.mutex.Unlock()
+	p.closeIdle(func(c *conn) bool { return all || now.Sub(c.idleSince) > idleMax })
+	return p.open == 0
+}
+
+// take returns the connection used last if it may be used, else permission to dial, else a channel to wait on.
+func (p *pool) take(idleLimit time.Duration) (*conn, bool, chan struct{}) {
+	now := p.timer.Now()
+	p.mutex.Lock()
+	defer p.mutex.Unlock()
+	last := len(p.idle) - 1
+	if last >= 0 && now.Sub(p.idle[last].idleSince) <= idleLimit {
+		c := p.idle[last]
+		p.idle[last] = nil
+		p.idle = p.idle[:last]
+		return c, false, nil
+	}
+	if p.open >= p.limit && last >= 0 {
+		oldest := p.idle[0]
+		_ = oldest.raw.Close()
+		p.idle = append(p.idle[:0], p.idle[1:]...)
+		p.open--
+	}
+	if p.open < p.limit {
+		p.open++
+		return nil, true, nil
+	}
+	wait := make(chan struct{}, 1)
+	p.waiters = append(p.waiters, wait)
+	return nil, false, wait
+}
+
+// wait blocks until a place may be free.
+func (p *pool) wait(ctx context.Context, wait chan struct{}, deadline core.Instant) error {
+	select {
+	case <-wait:
+		return nil
+	case <-ctx.Done():
+		p.leave(wait)
+		return ctx.Err()
+	case <-p.timer.After(deadline.Sub(p.timer.Now())):
+		p.leave(wait)
+		return context.DeadlineExceeded
+	}
+}
+
+// wake lets the first waiter try again; the mutex is held.
+func (p *pool) wake() {
+	if len(p.waiters) == 0 {
+		return
+	}
+	p.waiters[0] <- struct{}{}
+	p.waiters = p.waiters[1:]
+}
--- /dev/null
+++ b/entry/proxy/proxy.go
@@ -0,0 +1,97 @@
+package proxy
+
+import (
+	"net/http"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/go-chi/chi/v5"
+	"go.uber.org/zap"
+
+	"ebonyrouter.dev/core/codes"
+)
+
+// sweepInterval is the time between two searches for connections that have been idle for too long.
+const sweepInterval = 5 * time.Second
+
+// Proxy forwards HTTP requests; it is made by New and must be closed after its servers have stopped.
+type Proxy struct {
+	Config
+	draining atomic.Bool
+	ids      *ids
+	inFlight atomic.Int64
+	names    map[codes.Code]string
+	pools    *pools
+	stop     chan struct{}
+	tasks    sync.WaitGroup
+}
+
+// New returns a Proxy and starts its task that closes idle connections.
+func New(config Config) *Proxy {
+	if config.Log == nil {
+		config.Log = zap.NewNop()
+	}
+	p := &Proxy{
+		Config: config,
+		ids:    newIDs(),
+		names:  map[codes.Code]string{},
+		pools:  &pools{byAddress: map[string]*pool{}, source: config.Source, timer: config.Timer},
+		stop:   make(chan struct{}),
+	}
+	for _, info := range codes.All() {
+		p.names[info.Code] = info.Name
+	}
+	p.tasks.Go(p.sweep)
+	return p
+}
+
+// CallerHandler returns the handler of callers' requests; it removes the headers that only entry processes may set.
+func (p *Proxy) CallerHandler() http.Handler {
+	return p.handler(false)
+}
+
+// Close waits for the proxy's tasks and closes its idle connections.
+func (p *Proxy) Close() error {
+	close(p.stop)
+	p.tasks.Wait()
+	p.pools.sweep(true)
+	return nil
+}
+
+// Drain makes each further response close its connection, so that a planned stop does not meet requests that are
+// just being sent on kept-alive connections; requests are still served.
+func (p *Proxy) Drain() {
+	p.draining.Store(true)
+}
+
+// InFlight returns the number of requests that are being served.
+func (p *Proxy) InFlight() int {
+	return int(p.inFlight.Load())
+}
+
+// RelayHandler returns the handler of the relay address, which trusts the headers of other entry processes.
+func (p *Proxy) RelayHandler() http.Handler {
+	return p.handler(true)
+}
+
+func (p *Proxy) handler(relayed bool) http.Handler {
+	router := chi.NewRouter()
+	serve := func(w http.ResponseWriter, in *http.Request) { p.serve(w, in, relayed) }
+	router.NotFound(serve)
+	router.MethodNotAllowed(serve)
+	return router
+}
+
+func (p *Proxy) sweep() {
+	ticks := p.Timer.Subscribe(sweepInterval)
+	defer ticks.Stop()
+	for {
+		select {
+		case <-p.stop:
+			return
+		case <-ticks.C():
+			p.pools.sweep(false)
+		}
+	}
+}
--- /dev/null
+++ b/entry/proxy/relay_test.go
@@ -0,0 +1,206 @@
+package proxy
+
+import (
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"slices"
+	"strings"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"ebonyrouter.dev/core"
+	"ebonyrouter.dev/core/codes"
+)
+
+// peerRouter routes to the peers in turn and leaves out those that were tried.
+func peerRouter(kind core.HopKind, addresses ...string) func(core.RouteRequest) (core.Hop, error) {
+	return func(request core.RouteRequest) (core.Hop, error) {
+		for _, address := range addresses {
+			if !slices.Contains(request.TriedHosts, address) {
+				return core.Hop{Kind: kind, Peer: core.Host{Host: address, RelayAddress: address}, Region: "r2"}, nil
+			}
+		}
+		return core.Hop{}, &core.RejectedError{Code: codes.NoPermittedTarget, Text: "none left"}
+	}
+}
+
+// peerText is the answer of a peer.
+func peerText(status, code, ran string) string {
+	return "HTTP/1.1 " + status + " x\r\nEbony-Code: " + code + "\r\nEbony-Ran: " + ran + "\r\nContent-Length: 2\r\n\r\nok"
+}
+
+// TestRelayFailures guards against work that is repeated without proof that it was not run, against giving up
+// while another host is free, and against telling a caller that a request was not run when it may have been.
+func TestRelayFailures(t *testing.T) {
+	ok := peerText("200", "1000", "yes")
+	for name, test := range map[string]struct {
+		first, method, want, second string
+	}{
+		"rejected post moves on":     {peerText("503", "3002", "no"), "POST", "200 1000 yes", ok},
+		"unknown post stays":         {peerText("504", "4002", "unknown"), "POST", "504 4002 unknown", ok},
+		"unknown get moves on":       {peerText("504", "4002", "unknown"), "GET", "200 1000 yes", ok},
+		"caller's fault stays":       {peerText("413", "2003", "no"), "POST", "413 2003 no", ok},
+		"broken post stays":          {"", "POST", "502 4003 unknown", ok},
+		"broken get moves on":        {"", "GET", "200 1000 yes", ok},
+		"unknown is not forgotten":   {"", "GET", "503 3002 unknown", peerText("503", "3002", "no")},
+		"hung get moves on":          {"hang", "GET", "200 1000 yes", ok},
+		"hung post stays":            {"hang", "POST", "504 4002 unknown", ok},
+		"post without Ebony headers": {okText, "POST", "502 4003 unknown", ok},
+	} {
+		t.Run(name, func(t *testing.T) {
+			answer := func(text string) *rawUpstream {
+				return newRawUpstream(t, func(_ int64, c net.Conn) {
+					_ = readRequest(c)
+					if text == "hang" {
+						_, _ = io.Copy(io.Discard, c)
+					}
+					_, _ = io.WriteString(c, text)
+				})
+			}
+			w := newWorld()
+			w.hops = peerRouter(core.HopOwner, answer(test.first).address, answer(test.second).address)
+			url, _ := w.start(t, "a", nil)
+			got, err := call(t, test.method, url, "body", nil)
+			assert.NilError(t, err)
+			assert.Equal(t, got.summary(), test.want)
+		})
+	}
+}
+
+// TestGateway guards against a shift that bypasses its cap and against relays that never end.
+func TestGateway(t *testing.T) {
+	up := answering(t, okText)
+	owner := newWorld(up.address)
+	_, ownerRelay := owner.start(t, "a", nil)
+	gateway := newWorld()
+	gateway.hops = peerRouter(core.HopOwner, strings.TrimPrefix(ownerRelay, "http://"))
+	_, gatewayRelay := gateway.start(t, "g", nil)
+	entry := newWorld()
+	entry.hops = peerRouter(core.HopGateway, strings.TrimPrefix(gatewayRelay, "http://"))
+	url, _ := entry.start(t, "e", nil)
+	got, err := call(t, "POST", url, "body", nil)
+	assert.NilError(t, err)
+	assert.Equal(t, got.summary(), "200 1000 yes")
+	assert.Equal(t, gateway.shifts.Load(), int64(1))
+	// The entry process may own the shift itself.
+	self := newWorld()
+	self.hops = func(request core.RouteRequest) (core.Hop, error) {
+		if request.ToRegion == "" {
+			return core.Hop{Kind: core.HopGateway, Peer: core.Host{Host: "s"}, Region: "r2"}, nil
+		}
+		return peerRouter(core.HopOwner, strings.TrimPrefix(ownerRelay, "http://"))(request)
+	}
+	url, _ = self.start(t, "s", nil)
+	got, err = call(t, "POST", url, "body", nil)
+	assert.NilError(t, err)
+	assert.Equal(t, got.summary(), "200 1000 yes")
+	assert.Equal(t, self.shifts.Load(), int64(1))
+	loop := newWorld()
+	_, loopRelay := loop.start(t, "l", nil)
+	loop.hops = func(core.RouteRequest) (core.Hop, error) {
+		return core.Hop{Kind: core.HopOwner, Peer: core.Host{Host: "l", RelayAddress: strings.TrimPrefix(loopRelay, "http://")}}, nil
+	}
+	header := map[string]string{"Ebony-Hops": "1", "Ebony-Request-Id": "i", "Ebony-From-Region": "r1"}
+	got, err = call(t, "POST", loopRelay, "body", header)
+	assert.NilError(t, err)
+	assert.Equal(t, got.summary(), "503 2005 no")
+}
+
+// TestShiftIsAdmittedLast guards against a cap that counts requests before they wait for bandwidth, so that more than the
+// cap leave together, and against a gateway that sends after its lease.
+func TestShiftIsAdmittedLast(t *testing.T) {
+	tests := map[string]struct {
+		lease time.Duration
+		want  string
+	}{
+		"valid lease": {time.Minute, "200 1000 yes"},
+		"ended lease": {0, "503 3004 no"},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			_, owner := newWorld(answering(t, okText).address).start(t, "a", nil)
+			w := newWorld()
+			w.lease = test.lease
+			w.paced = func(admitted int64) { assert.Check(t, admitted == 0, "admitted before the wait for bandwidth") }
+			w.hops = func(request core.RouteRequest) (core.Hop, error) {
+				if request.ToRegion == "" && len(request.TriedHosts) == 0 {
+					return core.Hop{Kind: core.HopGateway, Peer: core.Host{Host: "g"}, Region: "r2"}, nil
+				}
+				return peerRouter(core.HopOwner, strings.TrimPrefix(owner, "http://"))(request)
+			}
+			url, _ := w.start(t, "g", nil)
+			got, err := call(t, "POST", url, "body", nil)
+			assert.NilError(t, err)
+			assert.Equal(t, got.summary(), test.want)
+		})
+	}
+}
+
+// TestDrain guards against kept-alive connections that are still in use when a planned stop closes them.
+func TestDrain(t *testing.T) {
+	p := New(Config{Router: newWorld(), Settings: newWorld(), Timer: newWorld().timer})
+	defer func() { assert.NilError(t, p.Close()) }()
+	p.Drain()
+	recorder := httptest.NewRecorder()
+	p.CallerHandler().ServeHTTP(recorder, httptest.NewRequest(http.MethodGet, "/", nil))
+	assert.Equal(t, recorder.Header().Get("Connection"), "close")
+}
+
+// TestKeptConnectionIsReused guards against a new connection for each request after the first one's deadline.
+func TestKeptConnectionIsReused(t *testing.T) {
+	up := newRawUpstream(t, func(_ int64, c net.Conn) {
+		for readRequest(c) == nil {
+			_, _ = io.WriteString(c, okText)
+		}
+	})
+	w := newWorld(up.address)
+	w.policy.DeadlineMs = 100
+	url, _ := w.start(t, "a", nil)
+	for range 3 {
+		got, err := call(t, "GET", url, "", nil)
+		assert.NilError(t, err)
+		assert.Equal(t, got.summary(), "200 1000 yes")
+		time.Sleep(150 * time.Millisecond)
+	}
+	assert.Equal(t, up.requests.Load(), int64(1))
+}
+
+// TestSilentConnections guards against work that is sent on a connection which is as old as an unanswered one.
+func TestSilentConnections(t *testing.T) {
+	warm := make(chan struct{})
+	up := newRawUpstream(t, func(n int64, c net.Conn) {
+		_ = readRequest(c)
+		if n <= 2 {
+			if n == 2 {
+				close(warm)
+			}
+			<-warm
+		}
+		_, _ = io.WriteString(c, okText)
+		for n > 2 && readRequest(c) == nil {
+			_, _ = io.WriteString(c, okText)
+		}
+		_, _ = io.Copy(io.Discard, c)
+	})
+	url, _ := newWorld(up.address).start(t, "a", nil)
+	done := make(chan error, 2)
+	for range 2 {
+		go func() {
+			_, err := call(t, "GET", url, "", nil)
+			done <- err
+		}()
+	}
+	assert.NilError(t, <-done)
+	assert.NilError(t, <-done)
+	got, err := call(t, "GET", url, "", nil)
+	assert.NilError(t, err)
+	assert.Equal(t, got.header.Get("Ebony-Code"), "4002")
+	got, err = call(t, "POST", url, "body", nil)
+	assert.NilError(t, err)
+	assert.Equal(t, got.summary(), "200 1000 yes")
+	assert.Equal(t, up.requests.Load(), int64(3))
+}
--- /dev/null
+++ b/entry/proxy/request.go
@@ -0,0 +1,155 @@
+package proxy
+
+import (
+	"net/http"
+	"slices"
+	"sync"
+	"time"
+
+	"ebonyrouter.dev/core"
+	"ebonyrouter.dev/core/codes"
+)
+
+// request is one caller's or relayed request while it is being served.
+type request struct {
+	avoid []string
+	// busyHost and busyTarget name where the latest attempt was sent.
+	busyHost   string
+	busyTarget string
+	body       []byte
+	class      string
+	// code is the result told to the caller.
+	code       codes.Code
+	deadline   core.Instant
+	fromRegion string
+	hops       int
+	id         string
+	incoming   *http.Request
+	// key is the Idempotency-Key of a non-idempotent request that goes through the Deduper.
+	key string
+	// limit reads the body of a streamed request.
+	limit *limitReader
+	mutex sync.Mutex
+	// pace delays the streamed body while it crosses the link between two regions; nil elsewhere.
+	pace   pace
+	policy core.EffectivePolicy
+	// ran is what all attempts so far amount to; it never goes back to no.
+	ran     core.Ran
+	service string
+	start   core.Instant
+	// streamed means that the body is too large to be kept and the request can be sent once only.
+	streamed bool
+	tenant   string
+	// told is the Ebony-Ran value told to the caller.
+	told     core.Ran
+	toRegion string
+	tried    []string
+	// upload is the latest attempt to send a streamed body.
+	upload *upload
+	writer http.ResponseWriter
+}
+
+// addAvoid excludes a target from the next attempts.
+func (r *request) addAvoid(target string) {
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+	r.avoid = append(r.avoid, target)
+}
+
+// addTried excludes a host from the next attempts.
+func (r *request) addTried(host string) {
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+	r.tried = append(r.tried, host)
+}
+
+// avoidBusy excludes the target or host of the running attempt and reports whether there is one.
+func (r *request) avoidBusy() bool {
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+	if r.busyTarget != "" {
+		r.avoid = append(r.avoid, r.busyTarget)
+	}
+	if r.busyHost != "" {
+		r.tried = append(r.tried, r.busyHost)
+	}
+	return r.busyTarget != "" || r.busyHost != ""
+}
+
+// idempotent reports whether running the request twice equals running it once.
+func (r *request) idempotent() bool {
+	switch r.incoming.Method {
+	case http.MethodGet, http.MethodHead, http.MethodOptions, http.MethodTrace, http.MethodPut, http.MethodDelete:
+		return true
+	default:
+		return false
+	}
+}
+
+// maxAttempts returns the bound on the attempts that this process makes.
+func (r *request) maxAttempts() int {
+	if r.relayed() {
+		return maxRelayedAttempts
+	}
+	return maxAttempts
+}
+
+// note remembers a reply that is given up and may have reached an upstream.
+func (r *request) note(rp *reply) {
+	if rp.ran == core.RanNo {
+		return
+	}
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+	r.ran = core.RanUnknown
+}
+
+// ranAfter returns what the caller may be told when the last attempt ended with ran.
+func (r *request) ranAfter(ran core.Ran) core.Ran {
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+	if ran == core.RanNo {
+		return r.ran
+	}
+	return ran
+}
+
+// relayed reports whether the request came from another entry process.
+func (r *request) relayed() bool {
+	return r.hops > 0
+}
+
+// routeRequest describes the next attempt.
+func (r *request) routeRequest() core.RouteRequest {
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+	return core.RouteRequest{
+		AdmitRequest: core.AdmitRequest{
+			Avoid:         slices.Clone(r.avoid),
+			Class:         r.class,
+			Deadline:      r.deadline,
+			FromRegion:    r.fromRegion,
+			NonIdempotent: !r.idempotent(),
+			Service:       r.service,
+			Tenant:        r.tenant,
+		},
+		ToRegion:   r.toRegion,
+		TriedHosts: slices.Clone(r.tried),
+	}
+}
+
+// setBusy names the target or host that an attempt is sent to.
+func (r *request) setBusy(host, target string) {
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+	r.busyHost = host
+	r.busyTarget = target
+}
+
+// tryEnd returns the time at which an upstream that was sent the request now should have answered.
+func (r *request) tryEnd(now core.Instant) core.Instant {
+	if r.policy.TryTimeoutMs <= 0 {
+		return r.deadline
+	}
+	return now.Add(time.Duration(r.policy.TryTimeoutMs) * time.Millisecond)
+}
--- /dev/null
+++ b/entry/proxy/target_test.go
@@ -0,0 +1,228 @@
+package proxy
+
+import (
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+)
+
+// TestConnectionLimit guards against more connections to a target than it accepts, and against waiters that starve.
+func TestConnectionLimit(t *testing.T) {
+	var open, high atomic.Int64
+	up := newRawUpstream(t, func(_ int64, c net.Conn) {
+		now := open.Add(1)
+		defer open.Add(-1)
+		for seen := high.Load(); now > seen && !high.CompareAndSwap(seen, now); seen = high.Load() {
+		}
+		for readRequest(c) == nil {
+			time.Sleep(5 * time.Millisecond)
+			_, _ = io.WriteString(c, okText)
+		}
+	})
+	url, _ := newWorld(up.address).start(t, "a", nil)
+	var callers sync.WaitGroup
+	for range 40 {
+		callers.Go(func() {
+			got, err := call(t, "POST", url, "body", nil)
+			assert.Check(t, err == nil && got.summary() == "200 1000 yes", "%v %v", got, err)
+		})
+	}
+	callers.Wait()
+	assert.Equal(t, high.Load(), int64(4))
+}
+
+// TestLateResponse guards against a response that arrives after its try timeout and is given to the next request.
+func TestLateResponse(t *testing.T) {
+	written := make(chan struct{})
+	late := newRawUpstream(t, func(n int64, c net.Conn) {
+		_ = readRequest(c)
+		if n > 1 {
+			_, _ = io.WriteString(c, okText)
+			return
+		}
+		time.Sleep(250 * time.Millisecond)
+		_, _ = io.WriteString(c, "HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\nlate")
+		close(written)
+	})
+	up := answering(t, okText)
+	url, _ := newWorld(late.address, up.address).start(t, "a", nil)
+	for range 2 {
+		got, err := call(t, "GET", url, "", nil)
+		assert.NilError(t, err)
+		assert.Equal(t, got.body, "ok")
+		<-written
+	}
+	assert.Equal(t, late.requests.Load(), int64(2))
+}
+
+// slowReader waits before its last part.
+type slowReader struct {
+	parts []string
+	wait  time.Duration
+}
+
+func (s *slowReader) Read(data []byte) (int, error) {
+	if len(s.parts) == 0 {
+		return 0, io.EOF
+	}
+	if len(s.parts) == 1 {
+		time.Sleep(s.wait)
+	}
+	n := copy(data, s.parts[0])
+	s.parts[0] = s.parts[0][n:]
+	if s.parts[0] == "" {
+		s.parts = s.parts[1:]
+	}
+	return n, nil
+}
+
+// TestLeaseEndsDuringUpload guards against bytes of a long upload that are written after the lease.
+func TestLeaseEndsDuringUpload(t *testing.T) {
+	received := make(chan string, 1)
+	up := newRawUpstream(t, func(_ int64, c net.Conn) {
+		text, _ := io.ReadAll(c)
+		received <- string(text)
+	})
+	w := newWorld(up.address)
+	w.lease = 200 * time.Millisecond
+	url, _ := w.start(t, "a", nil)
+	body := &slowReader{[]string{strings.Repeat("b", 100<<10), strings.Repeat("late", 10<<10)}, 400 * time.Millisecond}
+	request, err := http.NewRequestWithContext(t.Context(), http.MethodPost, url, body)
+	assert.NilError(t, err)
+	request.Header.Set("Ebony-Service", "board")
+	response, err := http.DefaultClient.Do(request)
+	assert.NilError(t, err)
+	assert.NilError(t, response.Body.Close())
+	assert.Equal(t, response.Header.Get("Ebony-Code")+response.Header.Get("Ebony-Ran"), "3004unknown")
+	assert.Assert(t, !strings.Contains(<-received, "late"))
+}
+
+// TestStalledCaller guards against a caller that does not read its response and holds a slot forever.
+func TestStalledCaller(t *testing.T) {
+	up := newRawUpstream(t, func(_ int64, c net.Conn) {
+		_ = readRequest(c)
+		_, _ = io.WriteString(c, "HTTP/1.1 200 OK\r\nContent-Length: 100000000\r\n\r\n")
+		_, _ = io.Copy(c, strings.NewReader(strings.Repeat("b", 100000000)))
+	})
+	w := newWorld(up.address)
+	w.policy.DeadlineMs = 300
+	url, _ := w.start(t, "a", nil)
+	c, err := net.Dial("tcp", strings.TrimPrefix(url, "http://"))
+	assert.NilError(t, err)
+	defer func() { _ = c.Close() }()
+	_, err = io.WriteString(c, "GET / HTTP/1.1\r\nHost: board.test\r\n\r\n")
+	assert.NilError(t, err)
+	select {
+	case <-w.outcomes:
+	case <-time.After(3 * time.Second):
+		t.Fatal("the slot was not released")
+	}
+}
+
+// TestSlotIsHeldUntilCancelledRequestEnds guards against a target over its slots: the slot of a request that was given
+// up was used for another one before the target had noticed.
+func TestSlotIsHeldUntilCancelledRequestEnds(t *testing.T) {
+	for name, test := range map[string]struct {
+		// deaf means that the target takes no notice, so that only the deadline ends the request.
+		deaf bool
+		// reset means that the network resets the connection, of which the target does not learn.
+		reset bool
+		send  func(t *testing.T, url string, started chan struct{})
+	}{
+		"caller gone":      {send: func(t *testing.T, url string, started chan struct{}) { cancelled(t, url, "", "", started) }},
+		"no answer":        {send: func(t *testing.T, url string, _ chan struct{}) { _, _ = call(t, http.MethodGet, url, "", nil) }},
+		"connection reset": {deaf: true, reset: true, send: func(t *testing.T, url string, _ chan struct{}) { _, _ = call(t, http.MethodPost, url, "", nil) }},
+		"deaf target":      {deaf: true, send: func(t *testing.T, url string, _ chan struct{}) { _, _ = call(t, http.MethodGet, url, "", nil) }},
+	} {
+		t.Run(name, func(t *testing.T) {
+			started := make(chan struct{})
+			var ended atomic.Bool
+			up := newRawUpstream(t, func(_ int64, c net.Conn) {
+				_ = readRequest(c)
+				close(started)
+				if test.reset {
+					_ = c.(*net.TCPConn).SetLinger(0)
+					_ = c.Close()
+				}
+				// The end of the caller's side is the cancellation; the work takes some time to stop.
+				_, _ = io.Copy(io.Discard, c)
+				time.Sleep(100 * time.Millisecond)
+				ended.Store(true)
+				if test.deaf {
+					time.Sleep(2 * time.Second)
+				}
+			})
+			w := newWorld(up.address)
+			w.policy.DeadlineMs = 800
+			url, _ := w.start(t, "a", nil)
+			begun := w.timer.Now()
+			test.send(t, url, started)
+			held := <-w.outcomes
+			assert.Assert(t, held.Held, "%+v", held)
+			freed := <-w.outcomes
+			assert.Assert(t, !freed.Held && ended.Load())
+			if test.deaf {
+				assert.Assert(t, w.timer.Now().Sub(begun) >= 800*time.Millisecond, "freed before the deadline")
+			}
+		})
+	}
+}
+
+// Guards against a request that runs after it was given up: over a network path that was silent, the kernel went on sending what
+// the target had not acknowledged, and the target ran it beside those that had its slot by then.
+func TestGivenUpRequestIsNotSentLater(t *testing.T) {
+	ended := make(chan error, 1)
+	up := newRawUpstream(t, func(_ int64, c net.Conn) {
+		_ = readRequest(c)
+		_, _ = io.Copy(io.Discard, c)
+		time.Sleep(time.Second)
+		// Only the first write to a connection that was closed without a reset succeeds.
+		_, err := io.WriteString(c, okText)
+		ended <- err
+	})
+	w := newWorld(up.address)
+	w.policy.DeadlineMs = 300
+	url, _ := w.start(t, "a", nil)
+	_, _ = call(t, http.MethodPost, url, "", nil)
+	assert.ErrorContains(t, <-ended, "")
+}
+
+// Guards against one lost booking for each kept-alive connection when the network resets those that are open.
+func TestResetMakesConnectionsOfSameAgeSuspect(t *testing.T) {
+	var both sync.WaitGroup
+	both.Add(2)
+	up := newRawUpstream(t, func(n int64, c net.Conn) {
+		_ = readRequest(c)
+		if n <= 2 {
+			both.Done()
+			both.Wait()
+		}
+		_, _ = io.WriteString(c, okText)
+		_ = readRequest(c)
+		_ = c.(*net.TCPConn).SetLinger(0)
+	})
+	w := newWorld(up.address)
+	w.policy.DeadlineMs = 300
+	url, _ := w.start(t, "a", nil)
+	post := func() string {
+		got, err := call(t, http.MethodPost, url, "body", nil)
+		assert.Check(t, err == nil)
+		return got.summary()
+	}
+	var callers sync.WaitGroup
+	callers.Go(func() { post() })
+	callers.Go(func() { post() })
+	callers.Wait()
+	assert.Equal(t, post(), "502 4003 unknown")
+	assert.Equal(t, post(), "200 1000 yes")
+	for range 5 {
+		<-w.outcomes
+	}
+}
--- /dev/null
+++ b/entry/route/doc.go
@@ -0,0 +1,2 @@
+// Package route chooses the next hop of a request from ownership and load hints.
+package route
--- /dev/null
+++ b/entry/route/table.go
@@ -0,0 +1,70 @@
+package route
+
+import (
+	"cmp"
+	"slices"
+
+	"ebonyrouter.dev/core"
+)
+
+// table holds what the Router derives from one revision of the settings.
+type table struct {
+	services map[string]*serviceTable
+	snapshot *core.Snapshot
+}
+
+// serviceTable holds the objects and shifts of one service.
+type serviceTable struct {
+	// objects lists the ownership keys of the targets by region.
+	objects map[string][]string
+	// owners holds the owners of these objects by region; the map is not modified.
+	owners map[string]*ownerCache
+	// shifts lists the shifts from the own region, the nearest destination first.
+	shifts []*shiftTable
+}
+
+// shiftTable is one shift from the own region with a cap.
+type shiftTable struct {
+	object   string
+	oneWayMs int64
+	percent  int64
+	to       string
+}
+
+func newTable(s *core.Snapshot, region string) *table {
+	t := &table{services: map[string]*serviceTable{}, snapshot: s}
+	for service, settings := range s.Settings.Services {
+		st := &serviceTable{objects: map[string][]string{}, owners: map[string]*ownerCache{}}
+		for name, target := range settings.Targets {
+			at := s.RegionOf[target.Zone]
+			st.objects[at] = append(st.objects[at], core.TargetObject(service, name))
+		}
+		for at, objects := range st.objects {
+			slices.Sort(objects)
+			st.owners[at] = &ownerCache{}
+		}
+		t.services[service] = st
+	}
+	latency := map[string]int64{}
+	for _, l := range s.Settings.Links {
+		if l.From == region {
+			latency[l.To] = l.OneWayMs
+		}
+	}
+	for _, shift := range s.Settings.Shifts {
+		st := t.services[shift.Service]
+		if st == nil || shift.From != region || shift.RequestsPerSecond < 1 {
+			continue
+		}
+		st.shifts = append(st.shifts, &shiftTable{
+			object:   core.ShiftObject(shift.Service, shift.From, shift.To),
+			oneWayMs: latency[shift.To],
+			percent:  shift.Percent,
+			to:       shift.To,
+		})
+	}
+	for _, st := range t.services {
+		slices.SortStableFunc(st.shifts, func(a, b *shiftTable) int { return cmp.Compare(a.oneWayMs, b.oneWayMs) })
+	}
+	return t
+}
--- /dev/null
+++ b/fleet/binaries.go
@@ -0,0 +1,47 @@
+package fleet
+
+import (
+	"context"
+	"os/exec"
+	"path/filepath"
+
+	"github.com/juju/errors"
+)
+
+// modulePrefix is the path of the module of a program without its name.
+const modulePrefix = "ebonyrouter.dev/"
+
+// Binaries is the directory that holds the built programs.
+type Binaries string
+
+// Build compiles programs of the workspace into a directory.
+func Build(dir string, programs ...string) (Binaries, error) {
+	b := Binaries(dir)
+	for _, p := range programs {
+		out, err := exec.CommandContext(context.Background(), "go", "build", "-o", b.Path(p), modulePrefix+p).CombinedOutput()
+		if err != nil {
+			return "", errors.Annotatef(err, "build %s: %s", p, out)
+		}
+	}
+	return b, nil
+}
+
+// Path returns the file of a program.
+func (b Binaries) Path(program string) string {
+	return filepath.Join(string(b), program)
+}
+
+// Start runs a program until the test ends; the name is that of its log in the artifacts of the test.
+func (b Binaries) Start(t T, name, program string, args ...string) *Process {
+	t.Helper()
+	p := &Process{cmd: exec.CommandContext(context.Background(), b.Path(program), args...), done: make(chan struct{}), name: name, t: t}
+	p.cmd.Stdout = &p.output
+	p.cmd.Stderr = &p.output
+	check(t, p.cmd.Start())
+	go func() {
+		_ = p.cmd.Wait()
+		close(p.done)
+	}()
+	t.Cleanup(p.end)
+	return p
+}
--- /dev/null
+++ b/fleet/http.go
@@ -0,0 +1,93 @@
+package fleet
+
+import (
+	"bufio"
+	"bytes"
+	"context"
+	"encoding/json"
+	"io"
+	"net/http"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/juju/errors"
+)
+
+const (
+	// Token is the bearer token of all administration APIs.
+	Token = "test-token"
+
+	gaugeTimeout = time.Second
+	getTimeout   = 5 * time.Second
+)
+
+// Gauge reads one metric of the process whose administration API is at address, within a second.
+func Gauge(address, name string) (float64, error) {
+	ctx, cancel := context.WithTimeout(context.Background(), gaugeTimeout)
+	defer cancel()
+	metrics, err := Metrics(ctx, address)
+	if err != nil {
+		return 0, err
+	}
+	n, ok := metrics[name]
+	if !ok {
+		return 0, errors.Errorf("%s has no metric %s", address, name)
+	}
+	return n, nil
+}
+
+// Get fetches JSON from an administration or control API within 5 s; into may be nil.
+func Get(url string, into any) error {
+	ctx, cancel := context.WithTimeout(context.Background(), getTimeout)
+	defer cancel()
+	return GetContext(ctx, url, into)
+}
+
+// GetContext fetches JSON from an administration or control API; into may be nil, and any status but 200 is an error.
+func GetContext(ctx context.Context, url string, into any) error {
+	body, err := send(ctx, http.MethodGet, url, "")
+	if err != nil || into == nil {
+		return err
+	}
+	return errors.Trace(json.Unmarshal(body, into))
+}
+
+// Metrics reads the metrics of the process whose administration API is at address, by name with labels.
+func Metrics(ctx context.Context, address string) (map[string]float64, error) {
+	body, err := send(ctx, http.MethodGet, "http://"+address+"/metrics", "")
+	if err != nil {
+		return nil, err
+	}
+	values := map[string]float64{}
+	lines := bufio.NewScanner(bytes.NewReader(body))
+	for lines.Scan() {
+		name, value, _ := strings.Cut(lines.Text(), " ")
+		if n, err := strconv.ParseFloat(value, 64); err == nil {
+			values[name] = n
+		}
+	}
+	return values, errors.Trace(lines.Err())
+}
+
+// send returns the body of the response to a request; any status but 200 is an error, or but 2xx for a PUT.
+func send(ctx context.Context, method, url, body string) ([]byte, error) {
+	request, err := http.NewRequestWithContext(ctx, method, url, strings.NewReader(body))
+	if err != nil {
+		return nil, errors.Trace(err)
+	}
+	request.Header.Set("Authorization", "Bearer "+Token)
+	r, err := http.DefaultClient.Do(request)
+	if err != nil {
+		return nil, errors.Trace(err)
+	}
+	defer func() { _ = r.Body.Close() }()
+	answer, err := io.ReadAll(r.Body)
+	if err != nil {
+		return nil, errors.Trace(err)
+	}
+	if r.StatusCode != http.StatusOK && (method != http.MethodPut || r.StatusCode/100 != 2) {
+		return nil, errors.Errorf("%s: status %d: %s", url, r.StatusCode, bytes.TrimSpace(answer))
+	}
+	return answer, nil
+}
--- /dev/null
+++ b/fleet/ownership.go
@@ -0,0 +1,123 @@
+package fleet
+
+import (
+	"context"
+	"encoding/json"
+	"strings"
+
+	"github.com/juju/errors"
+
+	"ebonyrouter.dev/core"
+	"ebonyrouter.dev/core/store"
+)
+
+// AwaitOwners waits until each host owns an equal share of the targets of each service in its region and reports it as
+// usable.
+func (d *Deployment) AwaitOwners() {
+	d.T.Helper()
+	Eventually(d.T, ReadyTimeout, func() error {
+		status, err := d.Status(d.Hosts[0])
+		if err != nil {
+			return err
+		}
+		if len(status.Hosts) != len(d.Hosts) {
+			var listed []string
+			for _, h := range status.Hosts {
+				listed = append(listed, h.Host)
+			}
+			return errors.Errorf("%d of %d hosts listed: %v", len(status.Hosts), len(d.Hosts), listed)
+		}
+		for _, service := range d.Spec.Services {
+			for _, region := range d.Spec.Regions {
+				if err := d.checkOwners(status, service.Name, region); err != nil {
+					return err
+				}
+			}
+		}
+		return nil
+	})
+}
+
+// OwnedInStore returns how many objects the ownership document in the store gives to a host.
+func (d *Deployment) OwnedInStore(h *Host) int {
+	d.T.Helper()
+	n := 0
+	for _, owner := range d.Ownership(h.Region).Objects {
+		if owner.Host == h.Name {
+			n++
+		}
+	}
+	return n
+}
+
+// Owner returns the host that the ownership document in the store names for a target, counted from 0, in a region.
+func (d *Deployment) Owner(region, service string, target int) *Host {
+	d.T.Helper()
+	name := d.Ownership(region).Objects[core.TargetObject(service, targetName(service, target))].Host
+	for _, h := range d.Hosts {
+		if h.Name == name {
+			return h
+		}
+	}
+	d.T.Fatalf("target %d of %s has no owner", target, service)
+	return nil
+}
+
+// Ownership returns the ownership document of a region in the store.
+func (d *Deployment) Ownership(region string) core.Ownership {
+	d.T.Helper()
+	client := store.NewClient(d.Store.Address)
+	defer client.Close()
+	o, err := client.Get(context.Background(), core.KeyOwnershipPrefix+region)
+	check(d.T, err)
+	var document core.Ownership
+	check(d.T, json.Unmarshal(o.Value, &document))
+	return document
+}
+
+// RegionTargets returns the addresses of the targets of a service in a region.
+func (d *Deployment) RegionTargets(service, region string) map[string]bool {
+	addresses := map[string]bool{}
+	for _, target := range d.Settings.Services[service].Targets {
+		if strings.HasPrefix(target.Zone, region+"-") {
+			addresses[target.Address] = true
+		}
+	}
+	return addresses
+}
+
+// checkOwners returns an error unless the hosts of a region share all targets of a service equally.
+func (d *Deployment) checkOwners(status core.FleetStatus, service, region string) error {
+	targets := len(d.RegionTargets(service, region))
+	share := targets / (len(d.Hosts) / len(d.Spec.Regions))
+	local := map[string]bool{}
+	for _, h := range d.in(region) {
+		local[h.Name] = true
+	}
+	left := targets
+	for _, h := range status.Hosts {
+		if !local[h.Host] {
+			continue
+		}
+		n := owned(h, service)
+		if n < share || n > share+1 {
+			return errors.Errorf("host %s owns %d targets of %s instead of %d", h.Host, n, service, share)
+		}
+		left -= n
+	}
+	if left != 0 {
+		return errors.Errorf("%d targets of %s in %s have no owner", left, service, region)
+	}
+	return nil
+}
+
+// owned returns how many targets of a service a host may use.
+func owned(h core.HostStatus, service string) int {
+	n := 0
+	for _, object := range h.Entry.Owned {
+		if strings.HasPrefix(object, "target/"+service+"/") {
+			n++
+		}
+	}
+	return n
+}
--- /dev/null
+++ b/loadgen/drive/config.go
@@ -0,0 +1,90 @@
+package drive
+
+import (
+	"net/netip"
+	"strings"
+	"time"
+
+	"github.com/juju/errors"
+)
+
+// Modes of sending requests.
+const (
+	// ModeDirect pins each worker to one upstream.
+	ModeDirect = "direct"
+	// ModeRoundRobin sends to the upstreams in turn without any limit.
+	ModeRoundRobin = "roundrobin"
+	// ModeSystem looks the service up and sends to the ranked entry hosts.
+	ModeSystem = "system"
+)
+
+const (
+	// maxConcurrency bounds the requests in flight.
+	maxConcurrency = 10000
+	// maxDuration bounds one run.
+	maxDuration = 10 * time.Minute
+	// maxRate bounds the offered requests per second.
+	maxRate = 200000
+)
+
+// Config describes one experiment; Rate 0 is a closed loop.
+type Config struct {
+	BodyBytes   int
+	Client      string
+	Concurrency int
+	Deadline    time.Duration
+	Duration    time.Duration
+	Entries     []string
+	Keyed       bool
+	Method      string
+	Path        string
+	Rate        float64
+	Service     string
+	Targets     []string
+	Tenant      string
+}
+
+// Validate rejects unbounded load and any address that is not on the loopback interface.
+func (c *Config) Validate() error {
+	switch {
+	case c.Concurrency < 1 || c.Concurrency > maxConcurrency:
+		return errors.Errorf("concurrency %d is not between 1 and %d", c.Concurrency, maxConcurrency)
+	case c.Duration <= 0 || c.Duration > maxDuration:
+		return errors.Errorf("duration %v is not between 0 and %v", c.Duration, maxDuration)
+	case c.Rate < 0 || c.Rate > maxRate:
+		return errors.Errorf("rate %v is not between 0 and %d", c.Rate, maxRate)
+	case c.Deadline <= 0:
+		return errors.Errorf("deadline %v is not positive", c.Deadline)
+	}
+	for _, address := range append(append([]string{}, c.Entries...), c.Targets...) {
+		err := CheckLoopback(address)
+		if err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// CheckLoopback returns an error unless address is a loopback IP address with port.
+func CheckLoopback(address string) error {
+	parsed, err := netip.ParseAddrPort(address)
+	if err != nil {
+		return errors.Annotatef(err, "address %q", address)
+	}
+	if !parsed.Addr().Unmap().IsLoopback() {
+		return errors.Errorf("address %q is not a loopback address", address)
+	}
+	return nil
+}
+
+// SplitList splits a comma-separated list and drops empty parts.
+func SplitList(text string) []string {
+	var list []string
+	for part := range strings.SplitSeq(text, ",") {
+		part = strings.TrimSpace(part)
+		if part != "" {
+			list = append(list, part)
+		}
+	}
+	return list
+}
--- /dev/null
+++ b/loadgen/drive/report.go
@@ -0,0 +1,129 @@
+package drive
+
+import (
+	"fmt"
+	"io"
+	"slices"
+	"text/tabwriter"
+	"time"
+
+	"github.com/HdrHistogram/hdrhistogram-go"
+)
+
+// maxNotRun bounds the tokens that one worker remembers.
+const maxNotRun = 100000
+
+// Range and precision of the latency histograms.
+const (
+	histogramDigits = 3
+	histogramMax    = int64(10 * time.Minute / time.Microsecond)
+)
+
+// Report is the outcome of one mode; latencies are those of verified responses, in microseconds.
+type Report struct {
+	Errors     int64            `json:"errors"`
+	Goodput    float64          `json:"goodput_per_s"`
+	InTime     int64            `json:"in_time"`
+	Mean       float64          `json:"mean_us"`
+	Mismatches int64            `json:"mismatches"`
+	Mode       string           `json:"mode"`
+	Moved      int64            `json:"moved"`
+	P50        int64            `json:"p50_us"`
+	P99        int64            `json:"p99_us"`
+	P999       int64            `json:"p99_9_us"`
+	Rejected   int64            `json:"rejected"`
+	Requests   int64            `json:"requests"`
+	Results    map[string]int64 `json:"results"`
+	Seconds    float64          `json:"seconds"`
+	Successes  int64            `json:"successes"`
+	Unsent     int64            `json:"unsent"`
+	histogram  *hdrhistogram.Histogram
+	// notRun holds the tokens of rejected requests with a method that is not idempotent.
+	notRun []string
+}
+
+// NewReport returns an empty report.
+func NewReport(mode string) *Report {
+	return &Report{Mode: mode, Results: map[string]int64{}, histogram: hdrhistogram.New(1, histogramMax, histogramDigits)}
+}
+
+// Merge adds the counts and latencies of other.
+func (r *Report) Merge(other *Report) {
+	r.Errors += other.Errors
+	r.InTime += other.InTime
+	r.Mismatches += other.Mismatches
+	r.Moved += other.Moved
+	r.Rejected += other.Rejected
+	r.Requests += other.Requests
+	r.Seconds += other.Seconds
+	r.Successes += other.Successes
+	r.Unsent += other.Unsent
+	for result, count := range other.Results {
+		r.Results[result] += count
+	}
+	r.histogram.Merge(other.histogram)
+	r.notRun = append(r.notRun, other.notRun...)
+}
+
+// NotRun returns the tokens of the requests of which the caller was told that they were not run.
+func (r *Report) NotRun() []string {
+	return r.notRun
+}
+
+// Summarize computes the percentiles and the goodput from the counts.
+func (r *Report) Summarize() {
+	r.Mean = r.histogram.Mean()
+	r.P50 = r.histogram.ValueAtQuantile(50)
+	r.P99 = r.histogram.ValueAtQuantile(99)
+	r.P999 = r.histogram.ValueAtQuantile(99.9)
+	if r.Seconds > 0 {
+		r.Goodput = float64(r.InTime) / r.Seconds
+	}
+}
+
+// WriteTable prints the reports and, below each, its results by code and Ebony-Ran.
+func WriteTable(w io.Writer, reports []*Report) error {
+	table := tabwriter.NewWriter(w, 0, 0, 2, ' ', tabwriter.AlignRight)
+	_, _ = fmt.Fprintln(table, "mode\trequests\tsuccesses\tgoodput/s\tp50 us\tp99 us\tp99.9 us\trejected\terrors\tunsent\tmismatches\t")
+	for _, r := range reports {
+		_, _ = fmt.Fprintf(table, "%s\t%d\t%d\t%.1f\t%d\t%d\t%d\t%d\t%d\t%d\t%d\t\n",
+			r.Mode, r.Requests, r.Successes, r.Goodput, r.P50, r.P99, r.P999, r.Rejected, r.Errors, r.Unsent, r.Mismatches)
+	}
+	for _, r := range reports {
+		var results []string
+		for result := range r.Results {
+			results = append(results, result)
+		}
+		slices.Sort(results)
+		for _, result := range results {
+			_, _ = fmt.Fprintf(table, "%s\t%s\t%d\t\n", r.Mode, result, r.Results[result])
+		}
+	}
+	return table.Flush()
+}
+
+// record counts one finished request.
+func (r *Report) record(o outcome, latency, deadline time.Duration) {
+	r.Requests++
+	r.Moved += o.moved
+	r.Results[o.result]++
+	switch o.kind {
+	case kindSuccess:
+		r.Successes++
+		_ = r.histogram.RecordValue(min(histogramMax, max(1, latency.Microseconds())))
+		if latency <= deadline {
+			r.InTime++
+		}
+	case kindRejected:
+		r.Rejected++
+		if o.token != "" && len(r.notRun) < maxNotRun {
+			r.notRun = append(r.notRun, o.token)
+		}
+	case kindUnsent:
+		r.Unsent++
+	case kindMismatch:
+		r.Mismatches++
+	default:
+		r.Errors++
+	}
+}
--- /dev/null
+++ b/steer/main.go
@@ -0,0 +1,19 @@
+package main
+
+import (
+	"os"
+	"runtime"
+
+	"ebonyrouter.dev/core/start"
+)
+
+// procs is the number of threads that run Go code at once unless GOMAXPROCS is set. A steer waits most of the time; in a
+// trial with 8 steers each at 32 hosts in one run it used 0.89 percent of a core with 10, 0.82 with 2 and 0.70 with 1.
+const procs = 1
+
+func main() {
+	if os.Getenv("GOMAXPROCS") == "" {
+		runtime.GOMAXPROCS(procs)
+	}
+	os.Exit(start.Main(os.Args[1:], os.Stderr, parseOptions))
+}
--- /dev/null
+++ b/steer/member/bench_test.go
@@ -0,0 +1,115 @@
+package member
+
+import (
+	"fmt"
+	"maps"
+	"runtime"
+	"testing"
+
+	"github.com/vmihailenco/msgpack/v5"
+	"gotest.tools/v3/assert"
+
+	"ebonyrouter.dev/core"
+)
+
+// design is the size to design for: 690 hosts in 11 zones of 5 regions.
+var design = [][]int{{63, 63, 63}, {63, 63}, {63, 63}, {63, 63}, {63, 60}}
+
+// roles names one host of each role.
+var roles = map[string]string{"exporter": "r0-z0-000", "plain": "r0-z0-062", "relay": "r0-z1-000"}
+
+// BenchmarkTick reports the time of one look at the links, of which there are 8 a second, and the payload bytes that
+// a host sends per second.
+func BenchmarkTick(b *testing.B) {
+	f := newFleet(b, design...)
+	f.run(updateIdle)
+	f.bytes = map[string]int{}
+	const span = 2 * updateIdle
+	f.run(span)
+	bytes := maps.Clone(f.bytes)
+	for role, host := range roles {
+		b.Run(role, func(b *testing.B) {
+			m := f.members[host]
+			b.ReportAllocs()
+			// What is sent takes the time of its receivers, and digests that stop arriving are no steady state.
+			f.mute = true
+			for b.Loop() {
+				f.now = f.now.Add(tickInterval)
+				m.table.renew(f.now)
+				m.tick()
+			}
+			b.ReportMetric(float64(bytes[host])/span.Seconds(), "payload_B/s")
+		})
+	}
+}
+
+// renew makes all digests and updates as new as if they had arrived now.
+func (t *table) renew(now core.Instant) {
+	for key, h := range t.digests {
+		if h.at = now; h.freshAt != 0 {
+			h.freshAt = now
+		}
+		t.digests[key] = h
+	}
+	for key, l := range t.lists {
+		l.at = now
+		t.lists[key] = l
+	}
+	for key, h := range t.updates {
+		h.at = now
+		t.updates[key] = h
+	}
+}
+
+// BenchmarkMemory reports the heap of one membership table and the size of the answer to a request for everything.
+func BenchmarkMemory(b *testing.B) {
+	for _, n := range []int{11, 173, 345, 690} {
+		b.Run(fmt.Sprintf("hosts=%d", n), func(b *testing.B) {
+			var heap, seed float64
+			for b.Loop() {
+				heap, seed = memory(b, n)
+			}
+			b.ReportMetric(heap, "heap_B")
+			b.ReportMetric(seed, "all_registrations_B")
+		})
+	}
+}
+
+// memory returns the live heap of a table of n hosts and the size of the message that filled it.
+func memory(b *testing.B, n int) (float64, float64) {
+	b.Helper()
+	ports = nil
+	clock := &port{fleet: &fleet{dials: map[string]bool{}, now: 1}}
+	update := core.MemberUpdate{Version: int64(n)}
+	for i := range n {
+		update.Changes = append(update.Changes, core.HostChange{Host: registration(i), Version: int64(i + 1)})
+	}
+	payload, err := msgpack.Marshal(update)
+	assert.NilError(b, err)
+	before := inUse()
+	m := New(registration(0), clock, clock, clock)
+	m.handleUpdate("", payload)
+	m.publish()
+	heap := inUse() - before
+	runtime.KeepAlive(m)
+	return heap, float64(len(payload))
+}
+
+// registration returns a host with all addresses and an incarnation of the usual length.
+func registration(i int) core.Host {
+	address := fmt.Sprintf("10.%d.%d.%d:20000", i/4096, i/64%64, i%64)
+	return core.Host{
+		AdminAddress: address, EntryAddress: address, Host: fmt.Sprintf("entry-%04d", i), Incarnation: "01JFZ0000000000000000000",
+		LinkAddress: address, Region: fmt.Sprintf("region-%d", i%5), RelayAddress: address, State: core.HostReady,
+		SteerAddress: address, Zone: fmt.Sprintf("region-%d-a", i%5),
+	}
+}
+
+// inUse returns the bytes of live heap objects.
+func inUse() float64 {
+	runtime.GC()
+	runtime.GC()
+	var s runtime.MemStats
+	runtime.ReadMemStats(&s)
+	return float64(s.HeapAlloc)
+}
--- /dev/null
+++ b/steer/member/duty.go
@@ -0,0 +1,45 @@
+package member
+
+import (
+	"slices"
+
+	"ebonyrouter.dev/core"
+)
+
+// Register replaces the own registration by what the entry process reports; names and places cannot change.
+func (m *Members) Register(self core.Host) {
+	m.mu.Lock()
+	old := m.table.self
+	self.Host, self.Region, self.Zone, self.SteerAddress = old.Host, old.Region, old.Zone, old.SteerAddress
+	changed := self != old
+	if changed {
+		m.table.setSelf(self)
+	}
+	m.mu.Unlock()
+	if !changed {
+		return
+	}
+	m.publish()
+	wake(m.registration)
+}
+
+// Relay reports whether this host watches the store for its zone.
+func (m *Members) Relay() bool {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.table.topology().isRelay(m.table.self)
+}
+
+// RelayAddresses returns the link addresses of the other relays of the own zone.
+func (m *Members) RelayAddresses() []string {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	var addresses []string
+	for _, name := range m.table.topology().relays[m.table.self.Zone] {
+		if address := m.table.entries[name].host.SteerAddress; name != m.table.self.Host && address != "" {
+			addresses = append(addresses, address)
+		}
+	}
+	slices.Sort(addresses)
+	return addresses
+}
--- /dev/null
+++ b/steer/owner/documents.go
@@ -0,0 +1,257 @@
+package owner
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"sync"
+	"time"
+
+	"go.uber.org/zap"
+
+	"ebonyrouter.dev/core"
+	"ebonyrouter.dev/core/event"
+)
+
+const (
+	// cutOffWait is the time for which a removed host that hears no member does not join again. After that the others may
+	// be dead; if they are not, it is removed again and its objects are out of use for about 7 s.
+	cutOffWait = 30 * time.Second
+	// maxAttempts bounds the repetitions of one change: a revocation of 69 members of a zone at once conflicts often.
+	maxAttempts = 12
+	// grantorWait is the time after which no lease that a replaced grantor confirmed is valid.
+	grantorWait = core.LeaseTerm + core.ClockDriftMargin
+)
+
+// ErrOlderIncarnation means that an older incarnation of the host is still a member and was not replaced.
+var ErrOlderIncarnation = errors.New("older incarnation of the host is still a member")
+
+// ErrRemoved means that the incarnation was a member and was removed; only a new incarnation can join.
+var ErrRemoved = errors.New("incarnation was a member and was removed")
+
+var _ core.OwnershipWriter = (*Documents)(nil)
+
+// Documents reads and changes the ownership document of its region, and revokes members of others, for the steer of one host.
+type Documents struct {
+	backoff  func(attempt int) time.Duration
+	heard    core.HostView
+	host     string
+	hosts    core.HostView
+	log      *zap.Logger
+	newID    func() string
+	onAdvice func(core.LeaseAdvice)
+	onChange func(core.Ownership, bool)
+	region   string
+	settings core.SettingsSource
+	store    core.Store
+	timer    core.Timer
+
+	// idle and looked belong to the goroutine that looks for work: whether the last look found none, and what it saw.
+	idle   bool
+	looked inputs
+
+	mu sync.Mutex
+	// absent says since when hosts have been suspected or not ready.
+	absent        map[string]core.Instant
+	blockedAt     core.Instant
+	blockedBy     grantorSet
+	document      core.Ownership
+	held          heldDocument
+	joining       string
+	known         bool
+	needAt        core.Instant
+	needEpoch     int64
+	needKnown     bool
+	needVersion   int64
+	others        map[string]core.Ownership
+	registered    map[string]registration
+	removed       map[string]bool
+	removedAt     core.Instant
+	storeDown     bool
+	withdrawn     []core.GrantorRef
+	withdrawnFrom grantorSet
+}
+
+// New returns the ownership documents of region for the steer of host.
+func New(host, region string, store core.Store, timer core.Timer, settings core.SettingsSource, hosts core.HostView, options ...Option) *Documents {
+	d := &Documents{
+		backoff:  defaultBackoff,
+		heard:    hosts,
+		host:     host,
+		hosts:    hosts,
+		log:      zap.NewNop(),
+		newID:    randomID,
+		onAdvice: func(core.LeaseAdvice) {},
+		onChange: func(core.Ownership, bool) {},
+		others:   map[string]core.Ownership{},
+		region:   region,
+		removed:  map[string]bool{},
+		settings: settings,
+		store:    store,
+		timer:    timer,
+	}
+	for _, o := range options {
+		o(d)
+	}
+	return d
+}
+
+// Change implements core.OwnershipWriter.Change.
+func (d *Documents) Change(ctx context.Context, change core.LeaseChange) core.LeaseChangeReply {
+	return d.update(ctx, d.region, "change", change.Host, func(document *core.Ownership) verdict {
+		return applyChange(document, change)
+	})
+}
+
+// Confirm implements core.OwnershipWriter.Confirm.
+func (d *Documents) Confirm(ctx context.Context, renew core.LeaseRenew) core.LeaseReply {
+	document, _, err := d.read(ctx, d.region)
+	if err != nil {
+		return core.LeaseReply{Reason: err.Error()}
+	}
+	reply := core.LeaseReply{Epoch: document.Epoch}
+	member, ok := document.Members[renew.Host]
+	switch {
+	case !ok || member.Incarnation != renew.Incarnation || renew.Region != d.region:
+		reply.Reason = "not a member"
+	case renew.Epoch < member.GrantorsFrom:
+		// A member that does not know its present entry could use objects that it has lost.
+		reply.Reason = "the member does not know the newest document"
+	default:
+		reply.Confirmed = true
+	}
+	return reply
+}
+
+// Current returns the newest document that is known, or false.
+func (d *Documents) Current() (core.Ownership, bool) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.document, d.known
+}
+
+// Evict removes members of which an operator says that their processes have ended for good.
+func (d *Documents) Evict(ctx context.Context, hosts ...string) core.LeaseChangeReply {
+	return d.update(ctx, d.region, "evict", fmt.Sprint(hosts), func(document *core.Ownership) verdict {
+		v := verdict{}
+		for _, name := range hosts {
+			if _, ok := document.Members[name]; ok {
+				removeMember(document, name)
+				v.write = true
+			}
+		}
+		return v
+	})
+}
+
+// Join implements core.OwnershipWriter.Join.
+func (d *Documents) Join(ctx context.Context, incarnation string) error {
+	if d.wasRemoved(incarnation) {
+		return ErrRemoved
+	}
+	if err := d.clearOlder(ctx, incarnation); err != nil {
+		return err
+	}
+	reply := d.update(ctx, d.region, "join", d.host, func(document *core.Ownership) verdict {
+		m, ok := document.Members[d.host]
+		switch {
+		case ok && m.Incarnation == incarnation:
+			return verdict{}
+		case ok:
+			return verdict{refusal: ErrOlderIncarnation.Error()}
+		}
+		document.Members[d.host] = core.Member{
+			Grantors:     chooseGrantors(d.self(), d.hosts.Hosts(), d.standings()),
+			GrantorsFrom: document.Epoch,
+			Host:         d.host,
+			Incarnation:  incarnation,
+		}
+		return verdict{write: true}
+	})
+	if reply.Outcome != core.LeaseApplied {
+		return fmt.Errorf("join of host %q: %s", d.host, reply.Reason)
+	}
+	return nil
+}
+
+// Observe implements core.OwnershipWriter.Observe.
+func (d *Documents) Observe(document core.Ownership) {
+	if document.Region == d.region {
+		d.observe(document, false)
+		return
+	}
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if document.Epoch > d.others[document.Region].Epoch {
+		d.others[document.Region] = document
+	}
+}
+
+// Reconcile gives owners to the objects of the settings that have none.
+func (d *Documents) Reconcile(ctx context.Context) error {
+	reply := d.update(ctx, d.region, "reconcile", d.region, func(*core.Ownership) verdict { return verdict{} })
+	if reply.Outcome != core.LeaseApplied {
+		return fmt.Errorf("reconcile region %q: %s", d.region, reply.Reason)
+	}
+	return nil
+}
+
+// Refresh reads the document from the store.
+func (d *Documents) Refresh(ctx context.Context) error {
+	_, _, err := d.read(ctx, d.region)
+	return err
+}
+
+// Revoke implements core.OwnershipWriter.Revoke.
+func (d *Documents) Revoke(ctx context.Context, revoke core.MemberRevoke) core.LeaseChangeReply {
+	if revoke.Region == "" {
+		return core.LeaseChangeReply{Outcome: core.LeaseRefused, Reason: "a revocation names no region"}
+	}
+	return d.update(ctx, revoke.Region, "revoke", revoke.Host, func(document *core.Ownership) verdict {
+		return applyRevoke(document, revoke)
+	})
+}
+
+// StoreDown reports whether the last call to the store failed.
+func (d *Documents) StoreDown() bool {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.storeDown
+}
+
+// observe adopts a newer document and tells it.
+func (d *Documents) observe(document core.Ownership, wrote bool) {
+	d.mu.Lock()
+	if document.Region != d.region || d.known && document.Epoch <= d.document.Epoch {
+		d.mu.Unlock()
+		return
+	}
+	if m, ok := d.document.Members[d.host]; ok && document.Members[d.host].Incarnation != m.Incarnation {
+		d.removed[m.Incarnation] = true
+		d.removedAt = d.timer.Now()
+	}
+	d.document = document
+	d.known = true
+	d.mu.Unlock()
+	if wrote {
+		event.LeaseChanged.Write(d.log, zap.String("region", d.region), zap.Int64("epoch", document.Epoch))
+	}
+	d.onChange(document, wrote)
+}
+
+// wasRemoved reports whether the incarnation of the local entry process was a member before.
+func (d *Documents) wasRemoved(incarnation string) bool {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.removed[incarnation]
+}
+
+// zones maps the known hosts to their availability zones.
+func (d *Documents) zones() map[string]string {
+	hosts := d.hosts.Hosts()
+	zones := make(map[string]string, len(hosts))
+	for _, h := range hosts {
+		zones[h.Host] = h.Zone
+	}
+	return zones
+}
--- /dev/null
+++ b/steer/owner/idle_test.go
@@ -0,0 +1,70 @@
+package owner_test
+
+import (
+	"context"
+	"maps"
+	"slices"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"ebonyrouter.dev/core"
+)
+
+// Guards against a steer that skips its look for work although something that the work depends on has changed.
+func TestIdleSteerNotices(t *testing.T) {
+	for name, test := range map[string]struct {
+		change func(t *testing.T, r *region)
+		want   bool
+	}{
+		"nothing": {func(*testing.T, *region) {}, false},
+		"settings": {func(_ *testing.T, r *region) {
+			next := r.source.Snapshot
+			next.Settings.Services = maps.Clone(next.Settings.Services)
+			next.Settings.Services["new"] = core.ServiceSettings{Targets: map[string]core.TargetSettings{"n": {Zone: "l1"}}}
+			r.source.next = &next
+		}, true},
+		"document": {func(t *testing.T, r *region) {
+			d := r.document(t)
+			delete(d.Members, "d")
+			d.Epoch++
+			r.steers["a"].Observe(d)
+		}, true},
+		"grantor of another incarnation": {func(_ *testing.T, r *region) {
+			r.hosts = slices.Clone(r.hosts)
+			r.hosts[1].Incarnation = "b2"
+		}, true},
+		"grantor gone": {func(_ *testing.T, r *region) {
+			r.heard = slices.DeleteFunc(slices.Clone(r.heard), func(h core.Host) bool { return h.Host == "b" })
+		}, true},
+	} {
+		t.Run(name, func(t *testing.T) {
+			r := newRegion(8)
+			r.join(t, "a", "b", "c", "d")
+			r.steers["a"].SetLocal("a1")
+			for r.looks(t, 1) {
+			}
+			test.change(t, r)
+			assert.Equal(t, r.looks(t, 15), test.want)
+		})
+	}
+}
+
+// looks lets the steer of host a look for work once a second, follows its advice about grantors and reports whether it
+// found any work.
+func (r *region) looks(t *testing.T, seconds int) bool {
+	t.Helper()
+	puts, advised := r.store.puts, false
+	for range seconds {
+		r.advice = core.LeaseAdvice{}
+		r.clock.now = r.clock.now.Add(time.Second)
+		r.steers["a"].Tick(context.Background())
+		if a := r.advice; len(a.Grantors) > 0 {
+			advised = true
+			c := core.LeaseChange{Grantors: a.Grantors, GrantorsFrom: a.GrantorsFrom, Host: "a", Incarnation: "a1", Region: "luzon"}
+			assert.Equal(t, r.steers["a"].Change(context.Background(), c).Outcome, core.LeaseApplied)
+		}
+	}
+	return advised || r.store.puts > puts
+}
--- /dev/null
+++ b/steer/report/doc.go
@@ -0,0 +1,2 @@
+// Package report gathers the status of all hosts on an operator's request; nothing is exchanged without one.
+package report
--- /dev/null
+++ b/steer/report/reporter.go
@@ -0,0 +1,141 @@
+package report
+
+import (
+	"context"
+	"sort"
+	"sync"
+	"time"
+
+	"github.com/juju/errors"
+
+	"ebonyrouter.dev/core"
+	"ebonyrouter.dev/core/codes"
+	"ebonyrouter.dev/core/wire"
+)
+
+const (
+	linkInterval       = 50 * time.Millisecond
+	maxParallelQueries = 32
+	queryTimeout       = 2 * time.Second
+)
+
+// Reporter keeps the newest status of the local entry process and queries the steers of all hosts.
+type Reporter struct {
+	config  Config
+	entry   core.EntryStatus
+	entryAt core.Instant
+	mu      sync.Mutex
+}
+
+// Config holds the parts that a Reporter works with; StoreError returns the last error of the store or "".
+type Config struct {
+	Hosts      core.HostView
+	Links      core.Links
+	Self       string
+	Settings   core.SettingsSource
+	StoreError func() string
+	Timer      core.Timer
+	Zone       string
+}
+
+// New returns a Reporter and registers its handler on the links.
+func New(config Config) *Reporter {
+	r := &Reporter{config: config}
+	config.Links.HandleRequest(core.TopicStatusGet, r.handleStatus)
+	return r
+}
+
+// Entry returns the newest status of the local entry process and its age, or false before the first.
+func (r *Reporter) Entry() (core.EntryStatus, time.Duration, bool) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.entryAt == 0 {
+		return core.EntryStatus{}, 0, false
+	}
+	return r.entry, r.config.Timer.Now().Sub(r.entryAt), true
+}
+
+// Fleet queries all known hosts; a host that does not answer in time is listed as unanswered.
+func (r *Reporter) Fleet(ctx context.Context) core.FleetStatus {
+	hosts := r.config.Hosts.Hosts()
+	status := core.FleetStatus{Hosts: make([]core.HostStatus, len(hosts))}
+	if snapshot := r.config.Settings.Current(); snapshot != nil {
+		status.Accepted = snapshot.Head
+	}
+	slots := make(chan struct{}, maxParallelQueries)
+	var group sync.WaitGroup
+	for i, h := range hosts {
+		slots <- struct{}{}
+		group.Go(func() {
+			defer func() { <-slots }()
+			status.Hosts[i] = r.query(ctx, h)
+		})
+	}
+	group.Wait()
+	sort.Slice(status.Hosts, func(i, j int) bool { return status.Hosts[i].Host < status.Hosts[j].Host })
+	status.LowestRevision = status.Lowest()
+	return status
+}
+
+// Local returns the status of this host.
+func (r *Reporter) Local() core.HostStatus {
+	s := core.HostStatus{Answered: true, Host: r.config.Self, StoreError: r.config.StoreError(), Zone: r.config.Zone}
+	s.SteerRevision = r.config.Settings.Current().Revision()
+	entry, age, ok := r.Entry()
+	if ok {
+		s.Entry = entry
+		s.EntryAgeMs = age.Milliseconds()
+	}
+	return s
+}
+
+// SetEntry stores the newest status of the local entry process.
+func (r *Reporter) SetEntry(status core.EntryStatus) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.entry = status
+	r.entryAt = r.config.Timer.Now()
+}
+
+func (r *Reporter) handleStatus(context.Context, string, []byte) ([]byte, error) {
+	reply, err := wire.Encode(r.Local())
+	return reply, errors.Trace(err)
+}
+
+func (r *Reporter) query(ctx context.Context, h core.Host) core.HostStatus {
+	if h.Host == r.config.Self {
+		return r.Local()
+	}
+	missing := core.HostStatus{Code: codes.PeerUnanswered, Host: h.Host, Zone: h.Zone}
+	if !r.config.Links.Alive(h.SteerAddress) {
+		// A link that stayed open would send heartbeats for good; one that is open for others is not closed.
+		r.config.Links.Connect(h.SteerAddress)
+		defer r.config.Links.Disconnect(h.SteerAddress)
+	}
+	ctx, cancel := context.WithTimeout(ctx, queryTimeout)
+	defer cancel()
+	reply, err := r.request(ctx, h.SteerAddress)
+	if err != nil {
+		return missing
+	}
+	var s core.HostStatus
+	if wire.Decode(reply, &s) != nil {
+		return missing
+	}
+	return s
+}
+
+// request asks a steer and waits for a link to it that is not open yet.
+func (r *Reporter) request(ctx context.Context, address string) ([]byte, error) {
+	for {
+		reply, err := r.config.Links.Request(ctx, address, core.TopicStatusGet, nil)
+		if !errors.Is(err, core.ErrLinkDown) {
+			return reply, errors.Trace(err)
+		}
+		select {
+		case <-ctx.Done():
+			return nil, errors.Trace(err)
+		case <-r.config.Timer.After(linkInterval):
+		}
+	}
+}
--- /dev/null
+++ b/steer/watch/watcher_test.go
@@ -0,0 +1,65 @@
+package watch
+
+import (
+	"context"
+	"testing"
+	"time"
+
+	"go.uber.org/goleak"
+	"go.uber.org/zap"
+	"gotest.tools/v3/assert"
+
+	"ebonyrouter.dev/core"
+	"ebonyrouter.dev/core/store"
+	"ebonyrouter.dev/core/timer"
+)
+
+func TestMain(m *testing.M) {
+	goleak.VerifyTestMain(m)
+}
+
+// nothing holds and takes no documents.
+type nothing struct{}
+
+func (nothing) Document(string) (core.Document, bool) { return core.Document{}, false }
+
+func (nothing) Offer(core.Document) (bool, error) { return true, nil }
+
+// Guards against hosts that read all ownership documents every 10 s although a relay keeps them up to date, and
+// against those that do not read them when no relay does, and against reads of documents that have not changed.
+func TestOwnershipPolls(t *testing.T) {
+	for name, tc := range map[string]struct {
+		covered  bool
+		min, max int64
+	}{
+		"covered by a relay": {covered: true, min: 2, max: 3},
+		"no relay answers":   {covered: false, min: 40, max: 120},
+	} {
+		t.Run(name, func(t *testing.T) {
+			memory := store.NewMemory()
+			clock := timer.NewManual()
+			w := New(Config{
+				Covered: func() bool { return tc.covered }, Log: zap.NewNop(), Relay: func() bool { return false },
+				Sink: nothing{}, Source: nothing{}, Store: memory, Timer: clock,
+			})
+			ctx, cancel := context.WithCancel(t.Context())
+			done := make(chan struct{})
+			go func() {
+				defer close(done)
+				w.Run(ctx)
+			}()
+			for range 600 {
+				clock.Advance(time.Second)
+				time.Sleep(time.Millisecond)
+			}
+			cancel()
+			<-done
+			calls := memory.Calls()
+			reads := calls[store.CallList] + calls[store.CallWatch]
+			assert.Assert(t, reads >= tc.min && reads <= tc.max, "%d reads in 10 minutes", reads)
+			if tc.covered {
+				assert.Equal(t, calls[store.CallList], int64(1), "whole reads of unchanged documents")
+			}
+		})
+	}
+}
--- /dev/null
+++ b/testup/stand/doc.go
@@ -0,0 +1,3 @@
+// Package stand implements upstream targets that keep evidence of what they were asked to do and can be told to
+// misbehave.
+package stand
