--- /dev/null
+++ b/testup/stand/evidence.go
@@ -0,0 +1,21 @@
+package stand
+
+// Evidence is what one target saw since its start or the last reset.
+type Evidence struct {
+	Address         string `json:"address"`
+	AfterDrain      int64  `json:"after_drain"`
+	Cancelled       int64  `json:"cancelled"`
+	ConnectionLimit int    `json:"connection_limit"`
+	Connections     int    `json:"connections"`
+	DeadlinePassed  int64  `json:"deadline_passed"`
+	HighConcurrent  int    `json:"high_concurrent"`
+	HighConnections int    `json:"high_connections"`
+	InUse           int    `json:"in_use"`
+	OverSlots       int64  `json:"over_slots"`
+	// ReachedUs is the time, in microseconds since the last order, at which 1, 2 and more slots were in use first.
+	ReachedUs []int64          `json:"reached_us"`
+	Requests  int64            `json:"requests"`
+	Runs      map[string]int64 `json:"runs,omitempty"`
+	Shed      int64            `json:"shed"`
+	Slots     int              `json:"slots"`
+}
