Choose the ports of a test host together and dial from another address

Cause: in a deployment with a test network, a host listens on one address with the ports of four forwarders that were chosen on other addresses, and dials from the address on which it listens. Two of its six listeners can have the same port, and a connection can take the port of a listener; the process then ends with code 8004. Ruled out: membership and the settings exchange; the process had ended before it took part. Change: the ports of a host are chosen together on the address on which it listens; it dials from an address of its own. A process that has ended is named with its last output while a test waits for owners, and the tests print the last output of every process when they fail.

--- a/e2e/main_test.go
+++ b/e2e/main_test.go
@@ -8,6 +8,9 @@
 	"ebonyrouter.dev/fleet"
 )
 
+// failureLogBytes bounds the output of each process in the report of a failed test.
+const failureLogBytes = 2000
+
 // binaries are built once for all tests.
 var binaries fleet.Binaries
 
@@ -32,5 +35,5 @@
 // deploy starts a deployment and waits until every target has a usable owner.
 func deploy(t *testing.T, s fleet.Spec) *fleet.Deployment {
 	t.Helper()
-	return fleet.Deploy(t, binaries, s)
+	return fleet.Deploy(t, binaries, s, fleet.WithFailureLog(failureLogBytes))
 }
--- a/e2e/network_test.go
+++ b/e2e/network_test.go
@@ -29,7 +29,7 @@
 		}
 	}()
 	dialer := net.Dialer{LocalAddr: &net.TCPAddr{IP: net.ParseIP(n.Join("a"))}}
-	s, err := dialer.Dial("tcp", n.Expose("b", "", l.Addr().String()))
+	s, err := dialer.Dial("tcp", n.Expose("b", l.Addr().String()))
 	assert.NilError(t, err)
 	defer func() { _ = s.Close() }()
 	echo := func() time.Duration {
--- a/fleet/address.go
+++ b/fleet/address.go
@@ -8,6 +8,9 @@
 	"sync/atomic"
 )
 
+// anyPort asks for a free port.
+const anyPort = "0"
+
 // nextHost numbers the loopback addresses that OwnIP has returned.
 var nextHost atomic.Uint32
 
@@ -24,7 +27,7 @@
 	t.Helper()
 	addresses := make([]string, count)
 	for i := range count {
-		l := listen(t, ip)
+		l := listen(t, ip, anyPort)
 		defer func() { _ = l.Close() }()
 		addresses[i] = l.Addr().String()
 	}
@@ -37,10 +40,10 @@
 	return netip.AddrFrom4([4]byte{127, byte(64 + os.Getpid()%64), byte(n >> 8), byte(n)}).String()
 }
 
-// listen opens a listener on a free port of an IP address.
-func listen(t T, ip string) net.Listener {
+// listen opens a listener on a port of an IP address.
+func listen(t T, ip, port string) net.Listener {
 	t.Helper()
-	l, err := new(net.ListenConfig).Listen(context.Background(), "tcp", net.JoinHostPort(ip, "0"))
+	l, err := new(net.ListenConfig).Listen(context.Background(), "tcp", net.JoinHostPort(ip, port))
 	check(t, err)
 	return l
 }
--- a/fleet/deployment.go
+++ b/fleet/deployment.go
@@ -10,8 +10,12 @@
 	"ebonyrouter.dev/core"
 )
 
-// peersPerHost is the number of steers that a host knows from the start.
-const peersPerHost = 2
+const (
+	// addressesPerHost is the number of addresses on which the two processes of a host listen.
+	addressesPerHost = 6
+	// peersPerHost is the number of steers that a host knows from the start.
+	peersPerHost = 2
+)
 
 // Deployment is a running set of processes: the store, the upstreams of each service and two processes per host.
 type Deployment struct {
@@ -63,7 +67,7 @@
 	d.storePath = d.Store.Address
 	if s.Network {
 		d.Network = NewNetwork(t)
-		d.storePath = d.Network.Expose(StoreName, "", d.Store.Address)
+		d.storePath = d.Network.Expose(StoreName, d.Store.Address)
 	}
 	return d
 }
@@ -163,14 +167,6 @@
 	return status, err
 }
 
-// address returns an address for a process of a host, through the network if there is one.
-func (d *Deployment) address(h *Host) string {
-	if d.Network == nil {
-		return FreeAddress(d.T)
-	}
-	return d.Network.Expose(h.Name, h.IP, "")
-}
-
 // in returns the hosts of a region.
 func (d *Deployment) in(region string) []*Host {
 	var hosts []*Host
@@ -185,16 +181,16 @@
 func (d *Deployment) placeHost(name, region, zone string) *Host {
 	d.T.Helper()
 	h := &Host{Name: name, Region: region, Zone: zone}
-	if d.Network != nil {
-		h.IP = d.Network.Join(name)
-	}
-	h.Caller, h.EntryLink, h.Relay, h.SteerLink = d.address(h), d.address(h), d.address(h), d.address(h)
 	if d.Network == nil {
+		h.Caller, h.EntryLink, h.Relay, h.SteerLink = FreeAddress(d.T), FreeAddress(d.T), FreeAddress(d.T), FreeAddress(d.T)
 		h.EntryAdmin, h.SteerAdmin = FreeAddress(d.T), FreeAddress(d.T)
 		return h
 	}
-	admin := FreeAddresses(d.T, h.IP, 2)
-	h.EntryAdmin, h.SteerAdmin = admin[0], admin[1]
+	h.ListenIP, h.SourceIP = OwnIP(), d.Network.Join(name)
+	a := FreeAddresses(d.T, h.ListenIP, addressesPerHost)
+	h.EntryAdmin, h.SteerAdmin = a[0], a[1]
+	h.Caller, h.EntryLink = d.Network.Expose(name, a[2]), d.Network.Expose(name, a[3])
+	h.Relay, h.SteerLink = d.Network.Expose(name, a[4]), d.Network.Expose(name, a[5])
 	return h
 }
 
@@ -204,8 +200,8 @@
 		return
 	}
 	d.T.Cleanup(func() {
-		if text := p.Output(); d.T.Failed() && text != "" {
-			d.T.Logf("%s: %s", p.name, text[:min(len(text), d.failureLog)])
+		if text := p.lastOutput(d.failureLog); d.T.Failed() && text != "" {
+			d.T.Logf("%s: %s", p.name, text)
 		}
 	})
 }
--- a/fleet/fault.go
+++ b/fleet/fault.go
@@ -75,7 +75,7 @@
 	paths := map[string][]string{}
 	for service, addresses := range d.Targets {
 		for _, a := range addresses {
-			paths[service] = append(paths[service], d.Network.Expose(a, "", a))
+			paths[service] = append(paths[service], d.Network.Expose(a, a))
 		}
 	}
 	return paths
--- a/fleet/host.go
+++ b/fleet/host.go
@@ -6,8 +6,9 @@
 type Host struct {
 	Caller, EntryAdmin, EntryLink, Relay, SteerAdmin, SteerLink string
 	Entry, Steer                                                *Process
-	// IP is the address on which the host listens and from which it dials, if there is a network.
-	IP, Name, Region, Zone string
+	// ListenIP and SourceIP are the addresses on which the host listens and from which it dials, if there is a network.
+	ListenIP, SourceIP string
+	Name, Region, Zone string
 	// Peers are the link addresses of the steers that the host knows from the start.
 	Peers []string
 }
@@ -23,8 +24,8 @@
 // sharedArgs returns the flags that both processes have.
 func (h *Host) sharedArgs() []string {
 	args := []string{"-host", h.Name, "-region", h.Region, "-zone", h.Zone, "-peers", strings.Join(h.Peers, ",")}
-	if h.IP != "" {
-		args = append(args, "-listen-ip", h.IP, "-source-ip", h.IP)
+	if h.ListenIP != "" {
+		args = append(args, "-listen-ip", h.ListenIP, "-source-ip", h.SourceIP)
 	}
 	return args
 }
--- a/fleet/network.go
+++ b/fleet/network.go
@@ -45,18 +45,17 @@
 	return n
 }
 
-// Expose returns an address that leads to host name through the network: to backend, or to the same port on ip.
-func (n *Network) Expose(name, ip, backend string) string {
+// Expose returns an address that leads to backend, an address of the member name, through the network. It has the port of
+// backend, because a host with -listen-ip listens on the ports of the addresses that it advertises.
+func (n *Network) Expose(name, backend string) string {
 	n.t.Helper()
-	l := listen(n.t, OwnIP())
+	_, port, err := net.SplitHostPort(backend)
+	check(n.t, err)
+	l := listen(n.t, OwnIP(), port)
 	n.t.Cleanup(func() { _ = l.Close() })
 	n.mu.Lock()
 	n.listeners[name] = l
 	n.mu.Unlock()
-	if backend == "" {
-		_, port, _ := net.SplitHostPort(l.Addr().String())
-		backend = net.JoinHostPort(ip, port)
-	}
 	go func() {
 		for {
 			s, err := l.Accept()
@@ -69,7 +68,8 @@
 	return l.Addr().String()
 }
 
-// Join adds a host whose processes listen on and dial from an address of their own, which is returned.
+// Join returns the address that a new member dials from. It listens on other addresses: a connection takes any free port
+// of the address that it leaves from, also one that a process of the host is about to listen on.
 func (n *Network) Join(name string) string {
 	ip := OwnIP()
 	n.mu.Lock()
--- a/fleet/option.go
+++ b/fleet/option.go
@@ -8,7 +8,7 @@
 	return func(d *Deployment) { d.logLevel = level }
 }
 
-// WithFailureLog shows up to size bytes of the output of the store and of each process of the hosts when the test fails.
+// WithFailureLog shows the last size bytes of the output of the store and of each process of the hosts when the test fails.
 func WithFailureLog(size int) Option {
 	return func(d *Deployment) { d.failureLog = size }
 }
--- a/fleet/ownership.go
+++ b/fleet/ownership.go
@@ -16,6 +16,9 @@
 func (d *Deployment) AwaitOwners() {
 	d.T.Helper()
 	Eventually(d.T, ReadyTimeout, func() error {
+		if err := d.ended(); err != nil {
+			return err
+		}
 		status, err := d.Status(d.Hosts[0])
 		if err != nil {
 			return err
@@ -111,6 +114,18 @@
 	return nil
 }
 
+// ended returns an error with the last output of a process of a host that has ended.
+func (d *Deployment) ended() error {
+	for _, h := range d.Hosts {
+		for _, p := range []*Process{h.Steer, h.Entry} {
+			if p != nil && p.ended() {
+				return errors.Errorf("%s has ended: %s", p.name, p.lastOutput(d.failureLog))
+			}
+		}
+	}
+	return nil
+}
+
 // owned returns how many targets of a service a host may use.
 func owned(h core.HostStatus, service string) int {
 	n := 0
--- a/fleet/process.go
+++ b/fleet/process.go
@@ -56,6 +56,22 @@
 	return readUsage(ctx, p.cmd.Process.Pid, p.Admin)
 }
 
+// ended reports whether the process has ended.
+func (p *Process) ended() bool {
+	select {
+	case <-p.done:
+		return true
+	default:
+		return false
+	}
+}
+
+// lastOutput returns up to size bytes from the end of what the process has written.
+func (p *Process) lastOutput(size int) string {
+	text := p.Output()
+	return text[max(0, len(text)-size):]
+}
+
 // end kills the process and keeps its log, which go test -artifacts does not remove.
 func (p *Process) end() {
 	p.Kill()
