--- a/Makefile
+++ b/Makefile
@@ -2,9 +2,12 @@
 PACKAGES := $(addsuffix /...,$(addprefix ./,$(MODULES)))
 PROGRAMS := $(filter-out core e2e fleet,$(MODULES))
 
+# Most of the time of the end-to-end tests is waiting, so several run at once.
+E2E_FLAGS ?= -parallel=4
+
 BENCH := go test -run '^$$' -count=1 -bench
 
-.PHONY: build capacity check demo e2e fmt lint models test
+.PHONY: build capacity check demo e2e fmt fmt-check lint models models-bounded test
 
 build: ## Builds every program into bin/.
 	mkdir -p bin
@@ -17,25 +20,29 @@
 	$(BENCH) . -benchtime 1x -timeout 10m ./capacity >> bin/capacity.txt
 	go run ./capacity < bin/capacity.txt
 
-check: lint test models e2e ## Runs everything that CI runs.
+check: ## Runs all stages of CI.
+	.ci/run
 
 demo: ## Runs a small deployment on loopback, sends requests through it and checks the evidence.
 	scripts/demo.sh
 
-e2e: ## Runs the programs as separate processes under faults; nothing else runs beside it, because it measures time.
-	@known=$$(sed -n 's/^test: *//p' KNOWN-RED.txt 2>/dev/null | paste -sd '|'); \
-	if [ -n "$$known" ]; then echo "passed over, see KNOWN-RED.txt: $$known"; fi; \
-	go test -count=1 -timeout 25m -v -skip "$${known:-^$$}" ./e2e
+e2e: ## Runs the programs as separate processes under faults; E2E_FLAGS=-parallel=1 runs one test after the other.
+	EBONY_TEST_FLAGS="-count=1 -timeout 25m -v $(E2E_FLAGS)" scripts/test.sh ./e2e
 
 fmt: ## Formats all Go files.
 	golangci-lint fmt $(PACKAGES)
 
-lint: ## Checks format and style.
+fmt-check: ## Checks the format of all Go files.
 	golangci-lint fmt --diff $(PACKAGES)
+
+lint: ## Checks style.
 	golangci-lint run $(PACKAGES)
 
-models: ## Checks the protocol models and their mutants with Spin.
+models: ## Checks the protocol models and their mutants with Spin, in full.
 	models/check.sh
 
+models-bounded: ## Checks the models and their mutants in small state spaces.
+	models/check.sh --bounded
+
 test: ## Runs all tests within one process with the race detector.
-	go test -race -count=1 -timeout 15m $(filter-out ./e2e/...,$(PACKAGES))
+	EBONY_TEST_FLAGS="-race -count=1 -timeout 15m" scripts/test.sh $(filter-out ./e2e/...,$(PACKAGES))
--- a/models/dedup.pml
+++ b/models/dedup.pml
@@ -9,6 +9,8 @@
  * Properties: at most one attempt runs the request (ran <= 1); the recorded answer is the one of the attempt
  * that ran; when all hosts have ended and no write is under way, no attempt that never runs holds the record.
  *
+ * bounded: -DFAULTS=2
+ *
  * Each mutant removes one rule and must be rejected:
  * mutant: UNCONDITIONAL
  * mutant: TRUST_LOST_ANSWER
@@ -19,7 +21,9 @@
  * mutant: TAKE_OVER
  */
 
+#ifndef FAULTS
 #define FAULTS 3 /* lost answers and failed calls in one run */
+#endif
 
 mtype = { NONE, RUNNING, DONE };
 mtype = { OK, CONFLICT, LOST, REFUSED };
--- a/models/settings.pml
+++ b/models/settings.pml
@@ -12,6 +12,7 @@
 //
 // Operators wait for the store while it is down, so an end state in an endless outage is no deadlock.
 // run: -E
+// bounded: -DLOSSES=1
 // ltl: converge
 // ltl: learns
 // mutant: NO_CONDITION
@@ -21,11 +22,14 @@
 // mutant: HEAD_FIRST
 // mutant: NO_FLOOR
 // mutant: SERVE_UNLEARNED
-// mutant: NO_POLL
-// mutant: NO_PEER
+// mutant: NO_POLL converge
+// mutant: NO_PEER learns
 
 #define REVISIONS 3
 #define CHANGES   5
+#ifndef LOSSES
+#define LOSSES    2 // answers of the store that may be lost
+#endif
 
 // The store. Change ids are 1 to 4; 0 means none.
 bool up = true;
@@ -36,7 +40,7 @@
 byte shared[REVISIONS];  // content under a key without it
 #endif
 byte marker[REVISIONS];  // settings/rev/<N>/accepted
-byte losses = 2;         // answers that may still be lost
+byte losses = LOSSES;    // answers that may still be lost
 
 // History, not visible to any process.
 byte accepted[REVISIONS];
--- a/models/shift.pml
+++ b/models/shift.pml
@@ -10,6 +10,8 @@
  * Property: whenever a process sends a request, all requests that were sent within WINDOW ticks are at most the cap in
  * force at this process.
  *
+ * bounded: -DENDS=7
+ *
  * Each mutant removes one rule and must be rejected:
  * mutant: COUNT_AT_RESERVATION
  * mutant: NO_LEASE_CHECK
@@ -24,7 +26,9 @@
 #define TERM 3    /* ticks of a lease after its last confirmation */
 #define CAP 2     /* requests in a window; lowered to 1 */
 #define WAITING 3 /* requests that wait at one process */
+#ifndef ENDS
 #define ENDS 9    /* ticks of a run */
+#endif
 #define NEVER 255
 
 byte now = 0;
--- a/models/writer.pml
+++ b/models/writer.pml
@@ -10,6 +10,8 @@
  * Properties: at most one attempt runs the request (ran <= 1); when all have ended and no write is under way, no
  * attempt that never runs holds the record, but for try 0 of an origin that has ended (the limit in entry/dedup/doc.go).
  *
+ * bounded: -DFAULTS=1
+ *
  * Each mutant removes one rule and must be rejected:
  * mutant: SAME_TRY
  * mutant: NO_TAKE
@@ -20,7 +22,9 @@
  * mutant: LEAVE_MAYBE
  */
 
+#ifndef FAULTS
 #define FAULTS 2 /* lost answers and failed calls in one run */
+#endif
 
 mtype = { NONE, RUNNING, DONE };
 mtype = { OK, CONFLICT, LOST, REFUSED };
