Run three end-to-end tests at once

Change: tests and cases with a deployment of their own are parallel; make e2e runs three at once (E2E_FLAGS=-parallel=1 for one after the other). TestOperationsPage sets the environment and the tests of start-up and of the network take 3 s, so they stay in sequence. Conclusion: three at once, so that a loaded machine keeps some cores free.

--- a/Makefile
+++ b/Makefile
@@ -3,7 +3,7 @@
 PROGRAMS := $(filter-out core e2e fleet,$(MODULES))
 
 # Most of the time of the end-to-end tests is waiting, so several run at once.
-E2E_FLAGS ?= -parallel=4
+E2E_FLAGS ?= -parallel=3
 
 BENCH := go test -run '^$$' -count=1 -bench
 
--- a/e2e/ceiling_test.go
+++ b/e2e/ceiling_test.go
@@ -15,6 +15,7 @@
 // Guards against owners that eject more than eject_max_percent of their targets when most of them fail fast at once, and
 // against requests that are neither served nor truthfully rejected then.
 func TestEjectionCeiling(t *testing.T) {
+	t.Parallel()
 	ejectMs := int64(500)
 	d := deploy(t, fleet.Spec{
 		HostsPerZone: 1, Regions: []string{"north"}, Zones: 2, Policy: core.Policy{EjectMs: &ejectMs},
@@ -67,6 +68,7 @@
 // Guards against more than the ramped share of the slots at a target that comes back after an ejection, after a drain or
 // to the settings, under a load that fills all slots.
 func TestTargetComesBack(t *testing.T) {
+	t.Parallel()
 	const (
 		interval = 300 * time.Millisecond
 		loads    = 8
--- a/e2e/fault_test.go
+++ b/e2e/fault_test.go
@@ -27,6 +27,7 @@
 // Guards against each fault of the brief that stops or delays processes: over-limit use, a key that runs twice, an
 // untrue report of not run, and requests that stay affected for longer than the stated time.
 func TestFaults(t *testing.T) {
+	t.Parallel()
 	tests := map[string]struct {
 		inject func(d *fleet.Deployment)
 		// keyedMayFail permits rejections of keyed requests for the whole run, because the store is unavailable.
@@ -84,6 +85,7 @@
 	}
 	for name, test := range tests {
 		t.Run(name, func(t *testing.T) {
+			t.Parallel()
 			d := deploy(t, faultSpec())
 			reads, bookings := startLoad(d, "board", false), startLoad(d, "booking", true)
 			time.Sleep(warmUp)
--- a/e2e/late_test.go
+++ b/e2e/late_test.go
@@ -15,6 +15,7 @@
 // attempt mixed with the first, and against a key that runs twice because an answer about it came late: answers between
 // hosts and from the store vary by more than the time after which they are given up or asked for elsewhere.
 func TestLateAnswers(t *testing.T) {
+	t.Parallel()
 	deadline, try, hedge, percent := int64(800), int64(100), int64(40), int64(50)
 	s := faultSpec()
 	s.Network, s.BodyBytes = true, 100<<10
--- a/e2e/latency_test.go
+++ b/e2e/latency_test.go
@@ -34,6 +34,7 @@
 // share of the traffic moves to another region and back while that region has its own callers. The cap of the shift,
 // the slots and the bandwidth hold, and every caller gets the whole response to its own request.
 func TestMoveWithLatency(t *testing.T) {
+	t.Parallel()
 	// The responses of the requests that the cap lets pass would take 60*40 KiB/s, which is 20 Mbit/s; the shift has
 	// 12 Mbit/s, a sixth of the link, because the shifts of three services in two directions share it.
 	const callers, moveFor = 16, 6 * time.Second
--- a/e2e/parted_test.go
+++ b/e2e/parted_test.go
@@ -12,6 +12,7 @@
 // Guards against callers that stay affected, broken limits and settings that revert or do not arrive when two regions
 // lose each other while both run; the store is in the north.
 func TestPartedRegions(t *testing.T) {
+	t.Parallel()
 	tests := map[string]struct {
 		// lonely means that the south loses the store as well.
 		lonely bool
@@ -21,6 +22,7 @@
 	}
 	for name, test := range tests {
 		t.Run(name, func(t *testing.T) {
+			t.Parallel()
 			s := smallSpec()
 			s.Network, s.BodyBytes = true, 40<<10
 			d := deploy(t, s)
--- a/e2e/path_test.go
+++ b/e2e/path_test.go
@@ -19,6 +19,7 @@
 
 // Guards against a break anywhere on the path of a request: look-up, ownership, relay, upstream, answer, idempotency key.
 func TestPath(t *testing.T) {
+	t.Parallel()
 	d := deploy(t, smallSpec())
 	c := newCaller("board")
 	for _, h := range d.Hosts {
--- a/e2e/region_test.go
+++ b/e2e/region_test.go
@@ -77,6 +77,7 @@
 // Guards against a shift above its cap and against an overloaded region: callers offer one region more than its slots
 // serve; the rest is shifted up to the cap, and the other region's own callers go on.
 func TestSpillStaysBelowCap(t *testing.T) {
+	t.Parallel()
 	d := deploy(t, regionSpec())
 	rate := sampleRuns(d, "board", "south")
 	flood := startFlood(d, "board", d.Hosts[0].Caller, 60)
@@ -97,6 +98,7 @@
 
 // Guards against callers that stay affected after the loss of a region, and against a move above the cap.
 func TestRegionLost(t *testing.T) {
+	t.Parallel()
 	d := deploy(t, regionSpec())
 	callers := startLoad(d, "board", false)
 	time.Sleep(warmUp)
@@ -135,6 +137,7 @@
 
 // Guards against a deliberate move of a share that is ignored, cuts requests, exceeds its cap or does not end.
 func TestShareMovesAwayAndBack(t *testing.T) {
+	t.Parallel()
 	d := deploy(t, regionSpec())
 	rate := sampleRuns(d, "board", "south")
 	callers := startFlood(d, "board", d.Hosts[0].Caller, callersPerService)
--- a/e2e/silent_path_test.go
+++ b/e2e/silent_path_test.go
@@ -115,6 +115,7 @@
 // that runs twice, an untrue report of not run, a mixed or cut response, settings that revert, and requests that stay
 // affected for longer than the stated time after the fault and after its end.
 func TestSilentPaths(t *testing.T) {
+	t.Parallel()
 	silent := fleet.Path{Silent: true}
 	tests := map[string]struct {
 		inject func(d *fleet.Deployment)
@@ -155,6 +156,7 @@
 	}
 	for name, test := range tests {
 		t.Run(name, func(t *testing.T) {
+			t.Parallel()
 			s := faultSpec()
 			s.Network, s.BodyBytes = true, 40<<10
 			d := deploy(t, s)
--- a/e2e/stop_test.go
+++ b/e2e/stop_test.go
@@ -18,6 +18,7 @@
 
 // Guards against a planned stop that cuts requests: every host is replaced under load without one failed request.
 func TestRollingReplacement(t *testing.T) {
+	t.Parallel()
 	d := deploy(t, faultSpec())
 	reads, bookings := startLoad(d, "board", false), startLoad(d, "booking", true)
 	time.Sleep(warmUp)
@@ -38,6 +39,7 @@
 
 // Guards against a process that cannot take part again when the other process of its host goes on running.
 func TestProcessReplacedAlone(t *testing.T) {
+	t.Parallel()
 	tests := map[string]func(d *fleet.Deployment, h *fleet.Host){
 		"entry": func(d *fleet.Deployment, h *fleet.Host) {
 			h.Entry.Stop(hostStopLimit)
@@ -54,6 +56,7 @@
 	}
 	for name, replace := range tests {
 		t.Run(name, func(t *testing.T) {
+			t.Parallel()
 			d := deploy(t, faultSpec())
 			h := d.Hosts[1]
 			replace(d, h)
@@ -67,6 +70,7 @@
 
 // Guards against new work at an upstream that is leaving, and against requests cut by the drain.
 func TestUpstreamDrain(t *testing.T) {
+	t.Parallel()
 	d := deploy(t, faultSpec())
 	reads := startLoad(d, "board", false)
 	time.Sleep(warmUp)
@@ -91,6 +95,7 @@
 // Guards against settings that revert: a host restarts during an outage of the store and must not fall back, and an
 // accepted revision must be in force everywhere within the stated 2 s.
 func TestSettingsInForceAndNeverRevert(t *testing.T) {
+	t.Parallel()
 	const inForceLimit = 2 * time.Second
 	d := deploy(t, faultSpec())
 	tree := d.Settings
--- a/e2e/target_path_test.go
+++ b/e2e/target_path_test.go
@@ -28,6 +28,7 @@
 // requests that stay affected for longer than the stated time after the fault and after its end. The forwarder accepts
 // connections on a silent path, so that dials without an answer are not among the cases.
 func TestTargetPaths(t *testing.T) {
+	t.Parallel()
 	tests := map[string]func(w targetPath){
 		"open connections silent": func(w targetPath) { w.lose() },
 		"open connections silent and steer frozen": func(w targetPath) {
@@ -43,6 +44,7 @@
 	}
 	for name, inject := range tests {
 		t.Run(name, func(t *testing.T) {
+			t.Parallel()
 			s := faultSpec()
 			s.Network, s.TargetPaths, s.BodyBytes = true, true, 40<<10
 			d := deploy(t, s)
--- a/e2e/upload_test.go
+++ b/e2e/upload_test.go
@@ -35,6 +35,7 @@
 // Guards against uploads that are cut off because they last longer than one confirmation of the owner's lease, or because
 // the host that serves them stops as planned.
 func TestSlowUpload(t *testing.T) {
+	t.Parallel()
 	s := faultSpec()
 	deadline := int64(8000)
 	s.Policy.DeadlineMs = &deadline
--- a/e2e/upstream_test.go
+++ b/e2e/upstream_test.go
@@ -10,6 +10,7 @@
 // Guards against each kind of misbehaviour of single upstream targets: callers must not be affected for longer than the
 // stated time, and no key may run twice.
 func TestUpstreamFaults(t *testing.T) {
+	t.Parallel()
 	tests := map[string]struct {
 		behaviour string
 	}{
@@ -21,6 +22,7 @@
 	}
 	for name, test := range tests {
 		t.Run(name, func(t *testing.T) {
+			t.Parallel()
 			d := deploy(t, faultSpec())
 			reads, bookings := startLoad(d, "board", false), startLoad(d, "booking", true)
 			time.Sleep(warmUp)
