--- a/e2e/caller_test.go
+++ b/e2e/caller_test.go
@@ -10,12 +10,14 @@
 	"testing"
 
 	"gotest.tools/v3/assert"
+
+	"ebonyrouter.dev/fleet"
 )
 
 // Guards against a keyed request that counts as refused although a host got it: net/http repeats it on a new connection
 // when a kept one closes without an answer, and that connection may be refused.
 func TestCallerNotesLostAnswer(t *testing.T) {
-	l, err := net.Listen("tcp", "127.0.0.1:0")
+	l, err := net.Listen("tcp", fleet.OwnIP()+":0")
 	assert.NilError(t, err)
 	got := make(chan string, 2)
 	go func() {
--- a/e2e/known_red_test.go
+++ b/e2e/known_red_test.go
@@ -37,6 +37,8 @@
 		"the whole test is listed":   {list: "test: . TestBroken\n", passes: true, texts: []string{"one is broken", "TestBroken fails as listed"}},
 		"another case is listed":     {list: "test: . TestBroken/two_(2)\n", texts: []string{"one is broken", "TestBroken/two_(2) passes again"}},
 		"a sound test is listed too": {list: "test: . TestBroken/one\ntest: . TestSound\n", passes: true, texts: []string{"TestSound passes again"}},
+		"no such package":            {list: "test: ./none TestBroken/one\n", texts: []string{"./none TestBroken/one: not a package"}},
+		"no test is named":           {list: "test: .\n", texts: []string{"not a package and the name of a test"}},
 		"no such case":               {list: "test: . TestBroken/one\ntest: . TestSound/none\n", texts: []string{"TestSound/none names no test that runs"}},
 	}
 	for name, test := range tests {
--- a/scripts/test.sh
+++ b/scripts/test.sh
@@ -3,7 +3,7 @@
 #   test: PACKAGE NAME
 # where PACKAGE is a path such as ./e2e and NAME is that of a test or a case (TestFaults/zone_lost). These run as well:
 # their failures are printed and passed over, and one that passes again is printed as such. Every other failure, and an
-# entry that names no test, fails.
+# entry that names no package or no test, fails.
 # Arguments: packages. EBONY_TEST_FLAGS holds further flags of go test.
 set -euo pipefail
 file=KNOWN-RED.txt
@@ -13,10 +13,14 @@
 
 # entries lists the known faults as "import path, name".
 entries() {
-	local package name
+	local package name path
 	[ -e "$file" ] || return 0
 	while read -r package name; do
-		printf '%s %s\n' "$(go list "$package")" "$name"
+		if ! path="$(go list "$package")" || [ -z "$name" ]; then
+			echo "$file: test: $package $name: not a package and the name of a test" >&2
+			return 1
+		fi
+		printf '%s %s\n' "$path" "$name"
 	done < <(sed -nE 's/^test: +//p' "$file")
 }
 
@@ -26,6 +30,7 @@
 }
 
 known="$(entries)"
+selected="$(go list "$@")"
 failed=0
 plain=()
 while read -r package; do
@@ -38,12 +43,11 @@
 	else
 		go test "${flags[@]}" -skip "$skip" "$package" || failed=1
 	fi
-done < <(go list "$@")
+done <<<"$selected"
 if ((${#plain[@]} > 0)); then
 	go test "${flags[@]}" "${plain[@]}" || failed=1
 fi
 
-selected="$(go list "$@")"
 while read -r package name; do
 	if [ -z "$name" ] || ! grep -qxF "$package" <<<"$selected"; then continue; fi
 	if go test "${flags[@]}" -v -run "$(pattern "$name")" "$package" >"$output" 2>&1; then
