Wait in TestShutdown for the busy connection, and read runs after the time in TestTargetPaths

Cause: TestShutdown released its handlers when the idle connection had closed, but Shutdown visits connections in any order and may not have reached the busy one. TestTargetPaths took the time of recovery after it had read the runs, so that a booking that ran in between counted as finished before. Change: the handlers return after every connection has been told to close; the time up to which a booking must be in the first list of runs is read before that list. All assertions stay.

--- a/e2e/target_path_test.go
+++ b/e2e/target_path_test.go
@@ -60,7 +60,10 @@
 				inject(p)
 			}
 			time.Sleep(affectedLimit + 200*time.Millisecond)
-			runsBefore, recovered := d.Runs("booking"), time.Now()
+			// Each booking that finished before runsRead has its run in runsBefore, which is read later.
+			runsRead := time.Now()
+			runsBefore := d.Runs("booking")
+			recovered := time.Now()
 			for _, p := range paths {
 				p.set(fleet.Path{})
 			}
@@ -72,7 +75,7 @@
 			assertRecovery(t, "bookings", bookingResults, injected, recovered)
 			runsAfter := d.Runs("booking")
 			for _, r := range bookingResults {
-				finished := r.startedAt.Add(r.elapsed).Before(recovered)
+				finished := r.startedAt.Add(r.elapsed).Before(runsRead)
 				assert.Check(t, !finished || runsAfter[r.key] == runsBefore[r.key],
 					"ran after its caller received a response or an error, when the path recovered: %+v", r.response)
 			}
--- a/entry/intake/intake_test.go
+++ b/entry/intake/intake_test.go
@@ -313,7 +313,8 @@
 	})
 }
 
-// TestShutdown guards against a shutdown that interrupts requests or waits for idle connections.
+// TestShutdown guards against a shutdown that interrupts requests or waits for idle connections. The handlers return only
+// after Shutdown has reached both connections, which it visits in any order.
 func TestShutdown(t *testing.T) {
 	started, release := make(chan struct{}, 2), make(chan struct{})
 	s, address := start(t, func(w http.ResponseWriter, r *http.Request) {
@@ -329,6 +330,12 @@
 	go func() { done <- s.Shutdown(t.Context()) }()
 	idle.closed()
 	assert.NilError(t, idle.Close())
+	poll.WaitOn(t, func(poll.LogT) poll.Result {
+		if !s.ClosingAll() {
+			return poll.Continue("Shutdown has not reached the busy connection")
+		}
+		return poll.Success()
+	})
 	close(release)
 	first, second := busy.receive("GET"), busy.receive("GET")
 	assert.Equal(t, second.body, "/2")
