Serve a request of which a part was read when a planned stop begins

Cause: closeAfterResponses took a connection without queued requests for idle although its reader had read a part of the next request, closed the socket and dropped the request. The caller of a non-idempotent request could not tell whether it ran. Change: the connection knows that a part of a request has been read; a stop ends only the wait for the next request, by the read deadline, so that the reader decides whether there is one. An incomplete head still ends after HeaderTimeout.

--- a/entry/intake/conn.go
+++ b/entry/intake/conn.go
@@ -46,7 +46,9 @@
 	pipelineTokens chan struct{}
 	socket         net.Conn
 	reader         *bufio.Reader
-	// closeRequested means that the connection closes after the responses to the requests read so far.
+	// readingRequest means that a part of a request has been read that is not in the response queue yet.
+	readingRequest bool
+	// closeRequested means that the connection closes after the responses to the requests of which a part has been read.
 	closeRequested bool
 	server         *Server
 	tasks          sync.WaitGroup
@@ -93,9 +95,10 @@
 func (c *conn) enqueue(request *http.Request) *exchange {
 	c.mutex.Lock()
 	defer c.mutex.Unlock()
-	if c.ended || c.closeRequested {
+	if c.ended || c.closeRequested && !c.readingRequest {
 		return nil
 	}
+	c.readingRequest = false
 	e := newExchange(c, request)
 	if c.lastExchange != nil {
 		e.previousDone = c.lastExchange.done
@@ -132,11 +135,15 @@
 		if c.isWriteClosed() {
 			_ = c.socket.SetReadDeadline(time.Now().Add(discardTime))
 		}
+		if c.closesWhileIdle() {
+			return nil, ErrClosed
+		}
 		c.headRemaining = c.server.MaxHeaderBytes
 		if _, err := c.reader.Peek(1); err != nil {
 			return nil, err
 		}
 	}
+	c.beginRequest()
 	c.headRemaining = max(0, c.server.MaxHeaderBytes-int64(c.reader.Buffered()))
 	_ = c.socket.SetReadDeadline(time.Now().Add(c.server.HeaderTimeout))
 	request, err := http.ReadRequest(c.reader)
@@ -149,20 +156,41 @@
 	return request.WithContext(c.ctx), nil
 }
 
-// closeAfterResponses closes the connection after the responses to the requests read so far. It closes an idle
-// connection without reading from it again: a request that is still in transit is not read, so the caller may safely
-// send it again.
+// beginRequest records that a part of a request has been read. A request behind one after whose response the connection
+// closes is not served.
+func (c *conn) beginRequest() {
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	c.readingRequest = !c.closeRequested || c.pendingResponses == 0
+}
+
+// closesWhileIdle reports whether the connection is to be closed and has no request in flight.
+func (c *conn) closesWhileIdle() bool {
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	return c.closeRequested && c.pendingResponses == 0
+}
+
+// closeAfterResponses closes the connection after the responses to the requests of which a part has been read. On an idle
+// connection it ends the wait for the next request: what is still in transit is not read, so the caller may safely send it
+// again.
 func (c *conn) closeAfterResponses() {
 	c.mutex.Lock()
+	defer c.mutex.Unlock()
 	c.closeRequested = true
-	idle := c.pendingResponses == 0
-	c.ended = c.ended || idle
-	c.mutex.Unlock()
-	if idle {
-		_ = c.socket.Close()
+	if c.pendingResponses == 0 && !c.readingRequest {
+		_ = c.socket.SetReadDeadline(time.Now())
 	}
 }
 
+// closeIdle closes a connection without requests in flight.
+func (c *conn) closeIdle() {
+	c.mutex.Lock()
+	c.ended = true
+	c.mutex.Unlock()
+	_ = c.socket.Close()
+}
+
 // closeWrite closes the connection for writing after the last response. Input is still read, for discardTime at most,
 // until the caller closes its side.
 func (c *conn) closeWrite() {
@@ -249,11 +277,13 @@
 	var timeout net.Error
 	switch {
 	case c.isEnded():
+	case errors.Is(cause, ErrClosed):
+		c.closeIdle()
 	case errors.Is(cause, errHeadTooLarge):
 		c.reject(http.StatusRequestHeaderFieldsTooLarge, cause)
 	case errors.As(cause, &timeout) && timeout.Timeout():
 		if c.idle() {
-			c.closeAfterResponses()
+			c.closeIdle()
 		}
 	case errors.Is(cause, io.EOF), errors.Is(cause, io.ErrUnexpectedEOF), errors.As(cause, new(*net.OpError)):
 		c.abort("the caller closed the connection", cause)
--- a/entry/intake/intake_test.go
+++ b/entry/intake/intake_test.go
@@ -347,6 +347,74 @@
 	assert.Assert(t, err != nil)
 }
 
+// TestShutdownServesRequestBeingRead guards against a planned stop that drops a request of which it has already read a part.
+// The caller of a non-idempotent request could not tell whether it ran.
+func TestShutdownServesRequestBeingRead(t *testing.T) {
+	cases := map[string]struct{ before, after string }{
+		"first request":   {"", get("/x")},
+		"later request":   {get("/0"), get("/x")},
+		"request in body": {"", "POST /x HTTP/1.1\r\nHost: a.test\r\nContent-Length: 200\r\n\r\n" + strings.Repeat("b", 200)},
+	}
+	for name, k := range cases {
+		t.Run(name, func(t *testing.T) {
+			s, _ := start(t, func(w http.ResponseWriter, r *http.Request) { _, _ = io.WriteString(w, r.URL.Path) })
+			inner, err := net.Listen("tcp", "127.0.0.1:0")
+			assert.NilError(t, err)
+			l := &watchedListener{Listener: inner, accepted: make(chan *watchedConn, 1)}
+			served := make(chan error, 1)
+			go func() { served <- s.Serve(l) }()
+			c := dial(t, inner.Addr().String())
+			if k.before != "" {
+				c.send(k.before)
+				c.receive("GET")
+			}
+			server := <-l.accepted
+			read := server.bytesRead.Load()
+			part := len(k.after) - 20
+			c.send(k.after[:part])
+			poll.WaitOn(t, func(poll.LogT) poll.Result {
+				if n := server.bytesRead.Load() - read; n < int64(part) {
+					return poll.Continue("%d of %d bytes read", n, part)
+				}
+				return poll.Success()
+			})
+			done := make(chan error, 1)
+			go func() { done <- s.Shutdown(t.Context()) }()
+			assert.ErrorIs(t, <-served, intake.ErrClosed)
+			poll.WaitOn(t, func(poll.LogT) poll.Result {
+				if !s.ClosingAll() {
+					return poll.Continue("Shutdown has not reached the connection")
+				}
+				return poll.Success()
+			})
+			c.send(k.after[part:])
+			method, _, _ := strings.Cut(k.after, " ")
+			got := c.receive(method)
+			assert.Equal(t, got.body, "/x")
+			assert.Assert(t, got.close)
+			c.closed()
+			assert.NilError(t, c.Close())
+			assert.NilError(t, <-done)
+		})
+	}
+}
+
+// TestShutdownDoesNotWaitForIncompleteHead guards against a shutdown that waits longer than HeaderTimeout for the rest of a
+// request head.
+func TestShutdownDoesNotWaitForIncompleteHead(t *testing.T) {
+	s, address := start(t, func(http.ResponseWriter, *http.Request) { t.Error("the request is served") })
+	c := dial(t, address)
+	c.send("GET / HT")
+	time.Sleep(50 * time.Millisecond)
+	ctx, cancel := context.WithTimeout(t.Context(), 10*time.Second)
+	defer cancel()
+	go func() {
+		_, _ = io.Copy(io.Discard, c)
+		_ = c.Close()
+	}()
+	assert.NilError(t, s.Shutdown(ctx))
+}
+
 // TestShutdownEndsWithItsContext guards against a shutdown that waits for a hung request after its context has ended.
 func TestShutdownEndsWithItsContext(t *testing.T) {
 	started := make(chan struct{})
@@ -388,6 +456,7 @@
 type watchedConn struct {
 	*net.TCPConn
 	bytesAfterClose *atomic.Int64
+	bytesRead       atomic.Int64
 	closed          chan struct{}
 	writeClosed     atomic.Bool
 }
@@ -405,6 +474,7 @@
 
 func (w *watchedConn) Read(data []byte) (int, error) {
 	n, err := w.TCPConn.Read(data)
+	w.bytesRead.Add(int64(n))
 	if w.writeClosed.Load() {
 		w.bytesAfterClose.Add(int64(n))
 	}
