Give each object one home over all regions and admit late requests by what a target knows

A key that a target knows by one route is served no faster by another one (0.368 s against 0.117 s and 0.400 s), so keys stay hashed by route. Ruled out: too few slots (90 requests a second of 0.213 s need 19 of 36). Change: consistent hashing over all regions, by slots, with three places a key in the same order on every host; a key stays at the first place that knows it; another target costs more the more keys targets have forgotten lately; what targets remember is estimated from response times; a request that is expected late is admitted up to 1.5 requests a slot if its key is known and up to 0.7 if not. The choice compares places and a sample instead of all targets twice. TestAffinity expected a target for each region; it now requires one for all regions, from hosts of two of them.

--- a/entry/place/choice.go
+++ b/entry/place/choice.go
@@ -8,17 +8,26 @@
 )
 
 const (
-	// busyPenalty is the share of the service time that is added to the cost of a target with all slots in use, so that
-	// requests spread over targets that would all serve them without a wait. The penalty grows linearly with the busy slots.
-	busyPenalty = 0.2
-	// defaultKnownShare is the share of the usual service time that a target is assumed to need for an affinity key that it
-	// knows, until such a request has been measured.
-	defaultKnownShare = 0.5
+	// localSample and remoteSample are the numbers of usable targets of the local and of remote regions that are compared,
+	// besides the places of an affinity key. With a key there are keySampleDivisor times fewer.
+	localSample      = 12
+	remoteSample     = 6
+	keySampleDivisor = 3
+	// latePlaces is the number of places of a key that may get a request which no target is expected to serve in time.
+	latePlaces = 2
 )
 
-// choice is a target and the expected time until its response.
+// choice is a target and what is expected if it gets the request.
 type choice struct {
-	cost   time.Duration
+	// cost is what choices are compared by: expected and the cost to later requests.
+	cost time.Duration
+	// distance and place are those of the request's affinity key.
+	distance int
+	place    int
+	// expected is the time until the response.
+	expected time.Duration
+	// known is the probability that the target knows the affinity key.
+	known  float64
 	target *target
 }
 
@@ -30,91 +39,120 @@
 	return c
 }
 
-// regionCandidates holds the candidates of the local region, or of all remote regions.
-type regionCandidates struct {
+// selection is the result of comparing targets.
+type selection struct {
 	best choice
-	// preferred is the target that all hosts prefer for the request's affinity key, chosen by rendezvous hashing; it is
-	// expected to know the key.
-	preferred *target
-	// score is the rendezvous hash of preferred.
-	score uint64
+	// spare is the best choice among the targets with room for late requests.
+	spare choice
 }
 
-// choose returns the target with the earliest expected response. Remote targets are compared with local ones only if
-// remoteShare allows it. Only remote targets are considered if the remote share would otherwise fall too fast, or if the
-// local region has no working target. The mutex must be held.
-func (p *Placer) choose(request *core.AdmitRequest, now core.Instant) choice {
+// comparison compares targets for one request.
+type comparison struct {
+	selection
+	*Placer
+	// home is the place of the first target that is likely to know the key, or the first place.
+	home    int
+	key     uint64
+	now     core.Instant
+	places  places
+	request *core.AdmitRequest
+	service *service
+	// meanTime is the mean service time of the service in nanoseconds, unknownTime that of the request's route if the target
+	// does not know the key, and savedTime what a known key saves.
+	meanTime    float64
+	savedTime   float64
+	unknownTime float64
+}
+
+// choose compares the places of the request's affinity key and some other targets. Remote targets are compared with local
+// ones only if remoteShare allows it. Only remote targets are considered if the remote share would otherwise fall too fast,
+// or if the local region has no working target. The mutex must be held.
+func (p *Placer) choose(request *core.AdmitRequest, now core.Instant) selection {
 	p.remoteShare.advance(now)
-	key := affinity(request)
-	targets := p.services[request.Service]
-	if len(targets) == 0 {
-		return choice{}
+	s := p.services[request.Service]
+	if s == nil {
+		return selection{}
 	}
-	local, remote := p.preferredTargets(targets, request, key, now)
-	localWorking := false
-	first := rand.IntN(len(targets))
-	for i := range targets {
-		t := targets[(first+i)%len(targets)]
-		localWorking = localWorking || t.Region == p.Region && p.working(t, request)
-		if !p.usable(t, request, now) {
-			continue
+	onlyRemote := !p.localWorking(s, request) || p.remoteShare.requiresRemote()
+	if onlyRemote {
+		if selected := p.compare(s, request, now, &s.remote); selected.best.target != nil {
+			return selected
 		}
-		candidates := &local
-		if t.Region != p.Region {
-			candidates = &remote
-		}
-		candidates.best = candidates.best.better(choice{p.cost(t, request, key, t == candidates.preferred, now), t})
 	}
-	switch {
-	case remote.best.target == nil:
-		return local.best
-	case !localWorking:
-		return remote.best
-	case p.remoteShare.requiresRemote():
-		return remote.best
-	case p.remoteShare.allowsRemote():
-		return local.best.better(remote.best)
-	default:
-		return local.best
+	if !onlyRemote && p.remoteShare.allowsRemote() {
+		return p.compare(s, request, now, &s.local, &s.remote)
 	}
+	return p.compare(s, request, now, &s.local)
 }
 
-// preferredTargets returns, for the local and for the remote regions, the target with the highest rendezvous hash of the
-// affinity key.
-func (p *Placer) preferredTargets(
-	targets []*target, request *core.AdmitRequest, key uint64, now core.Instant,
-) (local, remote regionCandidates) {
-	if key == 0 {
-		return local, remote
+// compare selects a target among the given parts of the service's targets.
+func (p *Placer) compare(s *service, request *core.AdmitRequest, now core.Instant, parts ...*regionTargets) selection {
+	c := comparison{Placer: p, key: affinity(request), now: now, request: request, service: s}
+	c.meanTime = float64(p.serviceTimes.serviceMean(request.Service))
+	c.unknownTime = float64(p.serviceTimes.routeMean(request.Route, false))
+	c.savedTime = c.unknownTime - float64(p.serviceTimes.routeMean(request.Route, true))
+	if c.key != 0 {
+		for _, part := range parts {
+			p.addPlaces(&c.places, s.ringOf(part), request, c.key, now)
+		}
+		c.home = c.findHome()
 	}
-	for _, t := range targets {
-		if !p.usable(t, request, now) {
-			continue
+	for i := range c.places.count {
+		c.consider(c.places.targets[i], i)
+	}
+	for _, part := range parts {
+		size := remoteSample
+		if part == &s.local {
+			size = localSample
 		}
-		candidates := &local
-		if t.Region != p.Region {
-			candidates = &remote
+		if c.key != 0 {
+			size /= keySampleDivisor
 		}
-		if score := mix(key ^ t.hash); candidates.preferred == nil || score > candidates.score {
-			candidates.preferred, candidates.score = t, score
+		c.considerSample(part.targets, size)
+	}
+	return c.selection
+}
+
+// findHome returns the place of the first target that is likely to know the key since this host sent it there. A key stays
+// there when a target with an earlier place joins.
+func (c *comparison) findHome() int {
+	for i := range c.places.count {
+		if d := c.places.targets[i].keys.distance(c.key); d != unseen && c.service.recall.probability(i, d) > 0.5 {
+			return i
 		}
 	}
-	return local, remote
+	return 0
+}
+
+// consider compares a target with the selected ones.
+func (c *comparison) consider(t *target, place int) {
+	candidate := c.estimate(t, place)
+	c.best = c.best.better(candidate)
+	if (place < latePlaces || c.key == 0) && candidate.roomForLate(c.now) {
+		c.spare = c.spare.better(candidate)
+	}
 }
 
-// cost estimates the time until a target's response: the round-trip time, the wait for a slot and the service time.
-func (p *Placer) cost(t *target, request *core.AdmitRequest, key uint64, preferred bool, now core.Instant) time.Duration {
-	slowdown := t.currentSlowdown(now)
-	serviceTime := p.serviceTimes.mean(request.Route, preferred || t.keys.has(key))
-	busy, slots := t.busy(now), max(1, t.Slots)
-	wait := busyPenalty * float64(serviceTime) * min(1, float64(busy)/float64(slots))
-	if busy >= slots {
-		wait += float64(busy-slots+1) / float64(slots) * float64(p.serviceTimes.serviceMean(t.Service))
+// considerSample considers up to size usable targets that are not places of the key.
+func (c *comparison) considerSample(targets []*target, size int) {
+	if len(targets) == 0 {
+		return
+	}
+	first := rand.IntN(len(targets))
+	for i := range targets {
+		t := targets[(first+i)%len(targets)]
+		if c.places.find(t) < maxPlaces || !c.usable(t, c.request, c.now) {
+			continue
+		}
+		c.consider(t, maxPlaces)
+		if size--; size == 0 {
+			return
+		}
 	}
-	return p.roundTrip(t) + time.Duration(slowdown*(float64(serviceTime)+wait))
 }
 
-// affinity returns the hash of a request's affinity key and route, or 0 without a key.
+// affinity returns the hash of a request's affinity key and route, or 0 without a key. A target that knows an object by one
+// route serves it no faster by another one.
 func affinity(request *core.AdmitRequest) uint64 {
 	if request.AffinityKey == "" {
 		return 0
--- a/entry/place/grant.go
+++ b/entry/place/grant.go
@@ -3,7 +3,6 @@
 import (
 	"math"
 	"sync"
-	"time"
 
 	"ebonyrouter.dev/core"
 )
@@ -12,18 +11,15 @@
 
 // grant is the permission to send one request to a target; it counts as in flight there until it is released.
 type grant struct {
-	// expected is the time until the response, as estimated when the target was chosen.
-	expected time.Duration
+	choice choice
 	// abandoned means that the request was given up and may still be running at the target.
 	abandoned bool
-	// keyKnown means that the target is expected to know the affinity key of the request.
-	keyKnown bool
-	mutex    sync.Mutex
-	placer   *Placer
-	ref      core.TargetRef
-	request  core.AdmitRequest
-	released bool
-	target   *target
+	mutex     sync.Mutex
+	placer    *Placer
+	ref       core.TargetRef
+	request   core.AdmitRequest
+	released  bool
+	target    *target
 }
 
 // Release implements core.Grant.Release.
--- a/entry/place/logs.go
+++ b/entry/place/logs.go
@@ -29,13 +29,14 @@
 // logPlaced logs the reasons for sending a request to its target.
 func (p *Placer) logPlaced(g *grant, best choice, state targetState) {
 	event.RequestPlaced.Write(p.Log, append(state.fields(g.request.RequestID, g.request.Service), zap.String("target", g.ref.Target),
-		zap.Bool("known_key", g.keyKnown), zap.Bool("other_region", g.target.Region != p.Region), zap.Duration("expected", best.cost))...)
+		zap.Uint64("key", affinity(&g.request)), zap.Bool("known_key", best.known > 0.5), zap.Int("place", best.place), zap.Int("key_distance", best.distance),
+		zap.Bool("other_region", g.target.Region != p.Region), zap.Duration("expected", best.expected))...)
 }
 
 // logRejected logs the reasons for rejecting a request.
 func (p *Placer) logRejected(request *core.AdmitRequest, best choice, state targetState, rejected *core.RejectedError, now core.Instant) {
 	event.RequestRejected.Write(p.Log, append(state.fields(request.RequestID, request.Service), zap.Int("code", int(rejected.Code)),
-		zap.String("reason", rejected.Text), zap.Duration("expected", best.cost), zap.Duration("to_deadline", request.Deadline.Sub(now)),
+		zap.String("reason", rejected.Text), zap.Duration("expected", best.expected), zap.Duration("to_deadline", request.Deadline.Sub(now)),
 		zap.Duration("to_aim", max(0, request.LatencyObjective.Sub(now))), zap.Duration("retry_after", rejected.RetryAfter),
 		zap.Strings("failed_targets", request.Avoid))...)
 }
--- a/entry/place/placer.go
+++ b/entry/place/placer.go
@@ -22,7 +22,7 @@
 	peerReports    map[string]peerReport
 	mutex          sync.Mutex
 	requestRate    requestRate
-	services       map[string][]*target
+	services       map[string]*service
 	targets        map[string]*target
 	targetsVersion int64
 	serviceTimes   serviceTimes
@@ -35,7 +35,7 @@
 		remoteShare:   remoteShare{maxStep: config.MaxRemoteStep / remoteSteps},
 		latencyRatios: latencyRatios{},
 		peerReports:   map[string]peerReport{},
-		services:      map[string][]*target{},
+		services:      map[string]*service{},
 		targets:       map[string]*target{},
 		serviceTimes:  serviceTimes{},
 	}
@@ -59,7 +59,8 @@
 	defer p.mutex.Unlock()
 	p.requestRate.count++
 	p.updateTargets()
-	best := p.choose(request, now)
+	selected := p.choose(request, now)
+	best := selected.best
 	if best.target == nil {
 		return best, targetState{targetsVersion: p.targetsVersion}, nil, &core.RejectedError{
 			Code: codes.NoPermittedTarget, RetryAfter: noTargetRetryAfter, Text: "no usable target of the service is known",
@@ -67,46 +68,44 @@
 	}
 	state := p.targetState(best.target, now)
 	if rejected := p.checkExpected(best, request, now); rejected != nil {
-		return best, state, nil, rejected
+		if selected.spare.target == nil {
+			return best, state, nil, rejected
+		}
+		best = selected.spare
+		state = p.targetState(best.target, now)
 	}
-	granted := p.grant(best.target, request, now)
-	granted.expected = best.cost
+	granted := p.grant(best, request, now)
 	return best, state, granted, nil
 }
 
 // grant counts a request as in flight at a target; the mutex must be held.
-func (p *Placer) grant(t *target, request *core.AdmitRequest, now core.Instant) *grant {
+func (p *Placer) grant(chosen choice, request *core.AdmitRequest, now core.Instant) *grant {
+	t := chosen.target
 	t.inFlight++
 	if t.ColdRemaining(now) > 0 {
 		t.coldNext = now.Add(coldInterval(p.serviceSettings(t).ColdPerSecond))
 	}
-	key := affinity(request)
-	keyKnown := key != 0 && t.keys.has(key)
-	if key != 0 {
-		t.keys.add(key)
+	if key := affinity(request); key != 0 {
+		t.keys.use(key)
 	}
 	p.remoteShare.record(t.Region != p.Region)
-	return &grant{keyKnown: keyKnown, placer: p, ref: p.ref(t), request: *request, target: t}
+	return &grant{choice: chosen, placer: p, ref: p.ref(t), request: *request, target: t}
 }
 
-// lateSlotShare is the share of a target's slots up to which it accepts requests that are expected to miss their deadline
-// or latency objective. The remaining slots are reserved for requests that meet both.
-const lateSlotShare = 0.7
-
 // checkExpected rejects a request whose response is expected after its deadline or latency objective, if it would delay
 // others. Under overload, a queue in which every request waits serves none of them in time. A target with enough free slots
 // always gets the request, whatever its estimate: only a measured response shows that it has become faster.
 func (p *Placer) checkExpected(best choice, request *core.AdmitRequest, now core.Instant) *core.RejectedError {
-	if float64(best.target.busy(now)) < lateSlotShare*float64(best.target.Slots) {
+	if best.roomForLate(now) {
 		return nil
 	}
-	if remaining := request.Deadline.Sub(now); best.cost > remaining {
-		return rejectLate(best.cost-remaining, "the expected response comes after the deadline, and others would wait for it")
+	if remaining := request.Deadline.Sub(now); best.expected > remaining {
+		return rejectLate(best.expected-remaining, "the expected response comes after the deadline, and others would wait for it")
 	}
 	if request.LatencyObjective == 0 {
 		return nil
 	}
-	expected := p.latencyRatios.correct(request.Service, best.cost)
+	expected := p.latencyRatios.correct(request.Service, best.expected)
 	if remaining := request.LatencyObjective.Sub(now); expected > remaining {
 		return rejectLate(expected-remaining, "the expected response comes after the aim, and others would wait for it")
 	}
@@ -127,7 +126,7 @@
 		return
 	}
 	if !outcome.Shed && !outcome.OtherTarget && outcome.Latency > 0 {
-		p.latencyRatios.record(t.Service, g.expected, outcome.Latency)
+		p.latencyRatios.record(t.Service, g.choice.expected, outcome.Latency)
 	}
 	if outcome.HasLoad {
 		t.recordLoad(now, outcome.Load)
@@ -153,11 +152,24 @@
 		t.consecutiveFailures, t.avoidUntil = 0, 0
 		return
 	}
-	t.recordSuccess(now, float64(serviceTime)/float64(p.serviceTimes.mean(g.request.Route, g.keyKnown)))
-	p.serviceTimes.record(g.request.Route, g.keyKnown, serviceTime)
+	known := p.keyWasKnown(g, serviceTime, now)
+	believed := known || g.choice.known >= believedKnown
+	t.recordSuccess(now, float64(serviceTime)/float64(p.serviceTimes.routeMean(g.request.Route, believed)))
+	p.serviceTimes.record(g.request.Route, known, serviceTime)
 	p.serviceTimes.record(t.Service, false, serviceTime)
 }
 
+// keyWasKnown decides from its service time whether a target knew the key of a request, and records it.
+func (p *Placer) keyWasKnown(g *grant, serviceTime time.Duration, now core.Instant) bool {
+	s := p.services[g.target.Service]
+	if g.request.AffinityKey == "" || s == nil {
+		return false
+	}
+	known := float64(serviceTime)/g.target.currentSlowdown(now) < float64(p.serviceTimes.knownLimit(g.request.Route))
+	s.recall.record(g.choice.place, g.choice.distance, known)
+	return known
+}
+
 // updateTargets applies the newest list of the registry.
 func (p *Placer) updateTargets() {
 	list := p.Registry.Targets()
@@ -166,17 +178,23 @@
 	}
 	p.targetsVersion = list.Version
 	p.drainedZones = list.DrainedZones
-	previous := p.targets
+	previousTargets, previousServices := p.targets, p.services
 	p.targets = make(map[string]*target, len(list.Targets))
-	p.services = map[string][]*target{}
+	p.services = map[string]*service{}
 	for _, entry := range list.Targets {
-		t := previous[entry.ID]
+		t := previousTargets[entry.ID]
 		if t == nil {
 			t = &target{}
 		}
 		t.apply(entry)
 		p.targets[entry.ID] = t
-		p.services[entry.Service] = append(p.services[entry.Service], t)
+		if p.services[entry.Service] == nil {
+			p.services[entry.Service] = &service{}
+		}
+		p.services[entry.Service].add(t, p.Region)
+	}
+	for name, s := range p.services {
+		s.inherit(previousServices[name])
 	}
 }
 
@@ -230,6 +248,10 @@
 	return core.ServiceSettings{}
 }
 
+// believedKnown is the probability from which a slow response to a request with a known key is taken for a slow target
+// rather than a forgotten key.
+const believedKnown = 0.7
+
 // minConnections is the lower bound of the connections that a host may open to a target.
 const minConnections = 2
 
--- /dev/null
+++ b/entry/place/places.go
@@ -0,0 +1,79 @@
+package place
+
+import "ebonyrouter.dev/core"
+
+const (
+	// maxPlaces is the number of targets among which the requests with one affinity key are divided.
+	maxPlaces = 3
+	// maxVisited is the number of targets of a ring that are visited to find the usable ones.
+	maxVisited = 8
+	// maxSteps is the number of points of a ring that are visited, which belong to few targets in a small region.
+	maxSteps = 64
+)
+
+// places are the usable targets that all hosts prefer for an affinity key, in this order. The places after the first one
+// are used if the earlier ones have no room.
+type places struct {
+	count   int
+	targets [maxPlaces]*target
+	// offsets holds the distances of the targets' points from the position of the key.
+	offsets [maxPlaces]uint64
+}
+
+// find returns the place of a target, or maxPlaces if it is not a place.
+func (l *places) find(t *target) int {
+	for i := range l.count {
+		if l.targets[i] == t {
+			return i
+		}
+	}
+	return maxPlaces
+}
+
+// insert adds a target at its place in the order of the offsets and drops the last one of more than maxPlaces.
+func (l *places) insert(t *target, offset uint64) {
+	i := l.count
+	if i == maxPlaces {
+		i--
+		if l.offsets[i] <= offset {
+			return
+		}
+	} else {
+		l.count++
+	}
+	for ; i > 0 && l.offsets[i-1] > offset; i-- {
+		l.targets[i], l.offsets[i] = l.targets[i-1], l.offsets[i-1]
+	}
+	l.targets[i], l.offsets[i] = t, offset
+}
+
+// addPlaces adds the first usable targets of a ring.
+func (p *Placer) addPlaces(l *places, r ring, request *core.AdmitRequest, key uint64, now core.Instant) {
+	var visited [maxVisited]*target
+	count, found, first := 0, 0, r.index(key)
+	for step := range min(maxSteps, len(r)) {
+		next := r[(first+step)%len(r)]
+		if contains(visited[:count], next.target) {
+			continue
+		}
+		visited[count] = next.target
+		count++
+		if p.usable(next.target, request, now) {
+			l.insert(next.target, next.position-key)
+			found++
+		}
+		if found == maxPlaces || count == maxVisited {
+			return
+		}
+	}
+}
+
+// contains reports whether a short list contains a target.
+func contains(targets []*target, t *target) bool {
+	for _, other := range targets {
+		if other == t {
+			return true
+		}
+	}
+	return false
+}
--- a/entry/place/service_times.go
+++ b/entry/place/service_times.go
@@ -1,17 +1,18 @@
 package place
 
-import "time"
+import (
+	"math"
+	"time"
+)
 
 const (
 	// defaultServiceTime is the service time of a route or service without measurements.
 	defaultServiceTime = 500 * time.Millisecond
+	// defaultKnownShare is the share of the usual service time that a target is assumed to need for an affinity key that it
+	// knows, until such a request has been measured.
+	defaultKnownShare = 1.0 / 3
 	// meanDivisor is the inverse of the weight of a new sample in a moving average.
 	meanDivisor = 16
-	// decreaseDivisor and increaseDivisor replace meanDivisor for samples of known keys below and above the mean. A target
-	// may no longer know a key that this process expects it to know; the slow samples of such keys must raise the mean of
-	// known keys only slowly.
-	decreaseDivisor = 4
-	increaseDivisor = 64
 )
 
 // serviceTimeKey identifies a mean service time: of a route's requests with an affinity key known to the target, of a
@@ -24,11 +25,6 @@
 // serviceTimes holds moving averages of service times.
 type serviceTimes map[serviceTimeKey]time.Duration
 
-// serviceMean returns the mean service time of a service.
-func (s serviceTimes) serviceMean(service string) time.Duration {
-	return s.mean(service, false)
-}
-
 // record adds a sample.
 func (s serviceTimes) record(name string, keyKnown bool, sample time.Duration) {
 	key := serviceTimeKey{keyKnown, name}
@@ -36,23 +32,33 @@
 	if !found {
 		mean = sample
 	}
-	divisor := time.Duration(meanDivisor)
-	switch {
-	case keyKnown && sample < mean:
-		divisor = decreaseDivisor
-	case keyKnown:
-		divisor = increaseDivisor
-	}
-	s[key] = mean + (sample-mean)/divisor
+	s[key] = mean + (sample-mean)/meanDivisor
 }
 
-// mean returns the mean service time of a route or service, or an estimate if none has been measured.
-func (s serviceTimes) mean(name string, keyKnown bool) time.Duration {
-	if mean, found := s[serviceTimeKey{keyKnown, name}]; found {
+// routeMean returns the mean service time of a route's requests whose key the target knows or does not know, or an estimate
+// if none has been measured.
+func (s serviceTimes) routeMean(route string, keyKnown bool) time.Duration {
+	if mean, found := s[serviceTimeKey{keyKnown, route}]; found {
 		return mean
 	}
 	if keyKnown {
-		return time.Duration(defaultKnownShare * float64(s.mean(name, false)))
+		return time.Duration(defaultKnownShare * float64(s.routeMean(route, false)))
+	}
+	if mean, found := s[serviceTimeKey{true, route}]; found {
+		return time.Duration(float64(mean) / defaultKnownShare)
+	}
+	return defaultServiceTime
+}
+
+// serviceMean returns the mean service time of a service.
+func (s serviceTimes) serviceMean(service string) time.Duration {
+	if mean, found := s[serviceTimeKey{name: service}]; found {
+		return mean
 	}
 	return defaultServiceTime
 }
+
+// knownLimit returns the service time below which a target is taken to have known the key of a request.
+func (s serviceTimes) knownLimit(route string) time.Duration {
+	return time.Duration(math.Sqrt(float64(s.routeMean(route, false)) * float64(s.routeMean(route, true))))
+}
--- a/entry/place/target.go
+++ b/entry/place/target.go
@@ -20,8 +20,6 @@
 	slowdownDecay = 4 * time.Second
 	// loadMaxAge is the age beyond which a load report is stale.
 	loadMaxAge = 3 * time.Second
-	// keySetSize is the number of recently used affinity keys that are kept for each target.
-	keySetSize = 64
 )
 
 // target is the state that this process keeps about one target; the placer's mutex guards it.
@@ -34,7 +32,7 @@
 	hash uint64
 	// inFlight counts the requests of this host at the target.
 	inFlight int
-	keys     keySet
+	keys     recentKeys
 	// otherRequests is the number of requests that the target reported at loadTime, without those of this host.
 	otherRequests int
 	loadTime      core.Instant
