--- a/core/in_flight.go
+++ b/core/in_flight.go
@@ -11,7 +11,8 @@
 
 // InFlight reports to other hosts how many requests a host has in flight at each target; it is a hint and grants no slots.
 // Targets holds the hashes of the target IDs and Counts the numbers of requests in the same order; targets without a request
-// are omitted. Rate is the recent rate of requests that the host receives, per second.
+// are omitted. Rate is the recent rate of requests that the host receives, per second. Stopping means that the host has begun
+// a planned stop.
 type InFlight struct {
 	_msgpack struct{} `msgpack:",as_array"` //nolint:unused // Read by the msgpack package.
 
@@ -19,6 +20,8 @@
 	Host    string   `json:"host" msgpack:"host"`
 	Targets []uint32 `json:"targets" msgpack:"targets"`
 	Rate    float64  `json:"rate" msgpack:"rate"`
+
+	Stopping bool `json:"stopping" msgpack:"stopping"`
 }
 
 // Validate implements Validator.Validate.
--- a/entry/place/in_flight_exchange.go
+++ b/entry/place/in_flight_exchange.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"sync/atomic"
 	"time"
 
 	"go.uber.org/zap"
@@ -26,14 +27,19 @@
 	Placer *Placer
 	// Peers returns the link addresses of the other hosts of the region.
 	Peers func() []string
-	// Rates receives the request rate of each host, including this one.
-	Rates RateRecorder
+	// Hosts receives what each host reports about itself, including this one.
+	Hosts HostRecorder
 	Timer core.Timer
+
+	stopping atomic.Bool
 }
 
-// RateRecorder records request rates of hosts.
-type RateRecorder interface {
+// HostRecorder records what hosts report about themselves.
+type HostRecorder interface {
+	// RecordRate records the rate of the requests that a host receives.
 	RecordRate(host string, perSecond float64)
+	// RecordStopping records whether a host has begun a planned stop.
+	RecordStopping(host string, stopping bool)
 }
 
 // Handle decodes and applies the report of a peer; it is a core.MessageHandler.
@@ -44,7 +50,23 @@
 		return
 	}
 	e.Placer.ApplyReport(report)
-	e.Rates.RecordRate(report.Host, report.Rate)
+	e.Hosts.RecordRate(report.Host, report.Rate)
+	e.Hosts.RecordStopping(report.Host, report.Stopping)
+}
+
+// AnnounceStop tells all hosts of the region that this one has begun a planned stop, which the store may not be able to.
+func (e *InFlightExchange) AnnounceStop() {
+	e.stopping.Store(true)
+	report := e.report()
+	e.Hosts.RecordStopping(report.Host, true)
+	e.sendTo(report, e.Peers())
+}
+
+// report returns the report of this host.
+func (e *InFlightExchange) report() core.InFlight {
+	report := e.Placer.InFlight()
+	report.Stopping = e.stopping.Load()
+	return report
 }
 
 // Run sends reports until ctx ends. While the host is idle, only the first report is sent.
@@ -58,8 +80,8 @@
 			return
 		case <-ticks.C():
 		}
-		report := e.Placer.InFlight()
-		e.Rates.RecordRate(report.Host, report.Rate)
+		report := e.report()
+		e.Hosts.RecordRate(report.Host, report.Rate)
 		idle := len(report.Targets) == 0 && report.Rate == 0
 		if idle && idleReported {
 			continue
@@ -71,16 +93,25 @@
 
 // send sends a report to the peers that follow position last in rotation and returns the position of the last one reached.
 func (e *InFlightExchange) send(report core.InFlight, last int) int {
+	peers := e.Peers()
+	var next []string
+	for range min(peersPerRound, len(peers)) {
+		last = (last + 1) % len(peers)
+		next = append(next, peers[last])
+	}
+	e.sendTo(report, next)
+	return last
+}
+
+// sendTo sends a report to peers.
+func (e *InFlightExchange) sendTo(report core.InFlight, peers []string) {
 	payload, err := wire.Encode(report)
 	if err != nil {
 		event.DocumentInvalid.Write(e.Log, zap.Error(err))
-		return last
+		return
 	}
-	peers := e.Peers()
-	for range min(peersPerRound, len(peers)) {
-		last = (last + 1) % len(peers)
+	for _, peer := range peers {
 		// The next report replaces one that could not be sent; links log their own failures.
-		_ = e.Links.Send(peers[last], core.TopicInFlight, payload)
+		_ = e.Links.Send(peer, core.TopicInFlight, payload)
 	}
-	return last
 }
--- a/entry/place/in_flight_exchange_test.go
+++ b/entry/place/in_flight_exchange_test.go
@@ -38,7 +38,7 @@
 	f, p := newFixture(readyTarget("a", "r1", "z1"), readyTarget("b", "r1", "z2"))
 	p.updateTargets()
 	rates := fakeRates{}
-	e := &InFlightExchange{Log: zap.NewNop(), Placer: p, Rates: rates, Timer: f.timer}
+	e := &InFlightExchange{Log: zap.NewNop(), Placer: p, Hosts: rates, Timer: f.timer}
 	e.Handle("peer", payload)
 	assert.Equal(t, len(rates), 1)
 	e.Handle("peer", []byte("x"))
@@ -143,9 +143,37 @@
 	assert.Assert(t, admitted())
 }
 
+// TestAnnounceStop guards against hosts that learn of a planned stop only when it has ended: all of them are told at once,
+// and later reports do not contradict it.
+func TestAnnounceStop(t *testing.T) {
+	f, p := newFixture(readyTarget("a", "r1", "z1"))
+	links := &fakeLinks{}
+	peers := []string{"1", "2", "3", "4", "5", "6"}
+	hosts := fakeHosts{}
+	e := &InFlightExchange{Hosts: hosts, Links: links, Log: zap.NewNop(), Peers: func() []string { return peers }, Placer: p, Timer: f.timer}
+	assert.Assert(t, !e.report().Stopping)
+	e.AnnounceStop()
+	assert.DeepEqual(t, links.sent, peers)
+	assert.Assert(t, hosts["h"] && e.report().Stopping)
+	payload, err := wire.Encode(e.report())
+	assert.NilError(t, err)
+	other := fakeHosts{}
+	(&InFlightExchange{Hosts: other, Log: zap.NewNop(), Placer: p}).Handle("peer", payload)
+	assert.Assert(t, other["h"])
+}
+
+// fakeHosts records which hosts are stopping.
+type fakeHosts map[string]bool
+
+func (f fakeHosts) RecordRate(string, float64) {}
+
+func (f fakeHosts) RecordStopping(host string, stopping bool) { f[host] = stopping }
+
 // fakeRates records the reported request rates by host.
 type fakeRates map[string]float64
 
+func (f fakeRates) RecordStopping(string, bool) {}
+
 func (f fakeRates) RecordRate(host string, perSecond float64) { f[host] = perSecond }
 
 // TestRequestRate guards against a request rate that overstates bursts, or that never returns to 0 on an idle host.
--- a/steer/roster/roster.go
+++ b/steer/roster/roster.go
@@ -41,7 +41,9 @@
 	self core.Host
 	// slots returns the number of target slots of an average region.
 	slots func() float64
-	timer core.Timer
+	// stopping holds the hosts that have reported that they are stopping.
+	stopping map[string]bool
+	timer    core.Timer
 }
 
 const (
@@ -83,7 +85,7 @@
 func New(self core.Host, links PeerLinks, timer core.Timer, log *zap.Logger, options ...Option) *Roster {
 	r := &Roster{
 		lookups: map[location]cachedLookup{}, demand: demand{rates: map[string]rate{}}, hosts: map[string]registration{}, links: links, log: log, self: self,
-		slots: func() float64 { return 0 }, timer: timer,
+		slots: func() float64 { return 0 }, stopping: map[string]bool{}, timer: timer,
 	}
 	for _, apply := range options {
 		apply(r)
@@ -98,6 +100,22 @@
 	r.demand.record(host, perSecond, r.timer.Now())
 }
 
+// RecordStopping records whether a host of the region has reported that it is stopping. Lookups do not name it then, also while
+// its registration cannot be deleted because the store is unavailable.
+func (r *Roster) RecordStopping(host string, stopping bool) {
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+	if stopping == r.stopping[host] {
+		return
+	}
+	if stopping {
+		r.stopping[host] = true
+	} else {
+		delete(r.stopping, host)
+	}
+	clear(r.lookups)
+}
+
 // Names returns the names of the registered hosts of a region, or of all regions if it is empty.
 func (r *Roster) Names(region string) []string {
 	r.mutex.Lock()
@@ -164,12 +182,21 @@
 	return hosts
 }
 
-// resolve computes a lookup without the cache; the caller holds the mutex.
+// resolve computes a lookup without the cache; the caller holds the mutex. It names stopping hosts only if there are no
+// others, because they still accept requests for a while.
 func (r *Roster) resolve(region, zone string, now core.Instant) []core.Host {
+	if hosts := r.resolveAmong(region, zone, now, false); len(hosts) > 0 {
+		return hosts
+	}
+	return r.resolveAmong(region, zone, now, true)
+}
+
+// resolveAmong computes a lookup among the live hosts that are stopping or not.
+func (r *Roster) resolveAmong(region, zone string, now core.Instant, stopping bool) []core.Host {
 	var inZone, inRegion, live []core.Host
 	for _, name := range r.names[""] {
 		h := r.hosts[name]
-		if !r.alive(&h, now) {
+		if !r.alive(&h, now) || r.stopping[name] != stopping {
 			continue
 		}
 		live = append(live, h.Host)
@@ -233,6 +260,9 @@
 	if found && old.LinkAddress != host.LinkAddress {
 		r.remove(host.Host)
 	}
+	if old.Incarnation != host.Incarnation {
+		delete(r.stopping, host.Host)
+	}
 	event.HostListed.Write(r.log, zap.String("host", host.Host), zap.String("incarnation", host.Incarnation), zap.String("zone", host.Zone))
 	r.hosts[host.Host] = registration{Host: host, updatedAt: r.timer.Now()}
 	if r.needsLink(host) {
@@ -251,4 +281,5 @@
 		r.links.Disconnect(h.LinkAddress)
 	}
 	delete(r.hosts, name)
+	delete(r.stopping, name)
 }
--- a/steer/roster/roster_test.go
+++ b/steer/roster/roster_test.go
@@ -79,3 +79,36 @@
 	assert.Equal(t, len(links.connected), 0)
 	assert.DeepEqual(t, r.Names(""), []string{"a"})
 }
+
+// TestStoppingHosts guards against lookups that name a host which is stopping but still registered, because the store is
+// unavailable. Such a host is named only if there is no other one, and again after its next start.
+func TestStoppingHosts(t *testing.T) {
+	restarted := host("b", "r1", "z1")
+	restarted.Incarnation = "2"
+	cases := map[string]struct {
+		change func(*roster.Roster)
+		want   []string
+	}{
+		"other host":                  {func(r *roster.Roster) { r.RecordStopping("b", true) }, []string{"a"}},
+		"this host":                   {func(r *roster.Roster) { r.RecordStopping("a", true) }, []string{"b"}},
+		"all hosts":                   {func(r *roster.Roster) { r.RecordStopping("a", true); r.RecordStopping("b", true) }, []string{"a", "b"}},
+		"host that has registered":    {func(r *roster.Roster) { r.RecordStopping("b", true); r.Put(restarted) }, []string{"a", "b"}},
+		"host that reports otherwise": {func(r *roster.Roster) { r.RecordStopping("b", true); r.RecordStopping("b", false) }, []string{"a", "b"}},
+	}
+	for name, k := range cases {
+		t.Run(name, func(t *testing.T) {
+			links := &fakeLinks{map[string]bool{"b:72": true}, map[string]bool{}}
+			m := timer.NewManual()
+			m.Advance(time.Hour)
+			r := roster.New(host("a", "r1", "z1"), links, m, zap.NewNop())
+			r.Reset([]core.Host{host("a", "r1", "z1"), host("b", "r1", "z1")})
+			assert.Equal(t, len(r.Resolve("r1", "z1")), 2)
+			k.change(r)
+			var got []string
+			for _, h := range r.Resolve("r1", "z1") {
+				got = append(got, h.Host)
+			}
+			assert.DeepEqual(t, got, k.want)
+		})
+	}
+}
