--- a/entry/place/late.go
+++ b/entry/place/late.go
@@ -7,7 +7,7 @@
 	// miss their deadline or latency objective, if it does not and if it does know their affinity key. A request with a
 	// known key occupies a slot for a fraction of the time, so that few others are late because of it.
 	lateShareUnknown = 0.7
-	lateShareKnown   = 1.5
+	lateShareKnown   = 2.0
 )
 
 // roomForLate reports whether the target would serve the request late without making many others late.
