--- a/losses/line.go
+++ b/losses/line.go
@@ -18,6 +18,7 @@
 	Code          codes.Code `json:"code"`
 	Event         event.ID   `json:"event"`
 	Expected      float64    `json:"expected"`
+	Key           uint64     `json:"key"`
 	KnownKey      bool       `json:"known_key"`
 	Lines         int        `json:"lines"`
 	OtherRegion   bool       `json:"other_region"`
@@ -27,7 +28,9 @@
 	RequestID     string     `json:"request_id"`
 	Route         string     `json:"route"`
 	Self          string     `json:"self"`
+	Service       string     `json:"service"`
 	Slots         int        `json:"slots"`
+	Target        string     `json:"target"`
 	TotalTime     float64    `json:"took"`
 }
 
--- a/losses/main_test.go
+++ b/losses/main_test.go
@@ -1,6 +1,7 @@
 package main
 
 import (
+	"fmt"
 	"strings"
 	"testing"
 
@@ -37,6 +38,21 @@
 	}
 }
 
+// TestLocality guards against wrong shares of requests that reached a target which had served their affinity key before.
+func TestLocality(t *testing.T) {
+	in := ""
+	for _, sent := range []struct {
+		key    uint64
+		target string
+		known  bool
+	}{{7, "a", false}, {7, "a", true}, {7, "b", false}, {8, "b", false}, {0, "a", false}} {
+		in += fmt.Sprintf(`{"event":610,"request_id":"r","service":"s","key":%d,"target":%q,"known_key":%t}`+"\n", sent.key, sent.target, sent.known)
+	}
+	var out strings.Builder
+	assert.NilError(t, run(strings.NewReader(in), &out))
+	assert.Assert(t, strings.Contains(out.String(), "| s | 4 | 2 | 1.5 | 0.500 | 0.250 | 0.250 |"), out.String())
+}
+
 // TestMissingLinesAreCounted guards against an incomplete table that does not say so: unfinished requests and dropped log lines
 // must be counted.
 func TestMissingLinesAreCounted(t *testing.T) {
--- a/losses/tally.go
+++ b/losses/tally.go
@@ -27,6 +27,8 @@
 	counts map[tableKey]int
 	// droppedLines is the number of log lines that each host has dropped since its start.
 	droppedLines map[string]int
+	// locality holds the counts of each service.
+	locality map[string]*locality
 	// unfinished holds the requests whose end has not been read, by request ID.
 	unfinished map[string]*request
 	// totalTime is the sum of the times of the counted requests, in seconds.
@@ -34,7 +36,7 @@
 }
 
 func newTally() *tally {
-	return &tally{counts: map[tableKey]int{}, droppedLines: map[string]int{}, unfinished: map[string]*request{}, totalTime: map[tableKey]float64{}}
+	return &tally{counts: map[tableKey]int{}, droppedLines: map[string]int{}, locality: map[string]*locality{}, unfinished: map[string]*request{}, totalTime: map[tableKey]float64{}}
 }
 
 // read adds all log lines of in and skips other text. It returns an error if a log line cannot be decoded.
@@ -60,6 +62,7 @@
 		t.droppedLines[l.Self] = max(t.droppedLines[l.Self], l.Lines)
 	case event.RequestPlaced.ID:
 		t.request(l.RequestID).placed = l
+		t.addLocality(l)
 	case event.RequestRejected.ID:
 		t.request(l.RequestID).rejected = l
 	case event.RequestCompleted.ID:
@@ -70,6 +73,17 @@
 	}
 }
 
+// addLocality counts the choice of a target for a request with an affinity key.
+func (t *tally) addLocality(l *logLine) {
+	if l.Key == 0 {
+		return
+	}
+	if t.locality[l.Service] == nil {
+		t.locality[l.Service] = &locality{}
+	}
+	t.locality[l.Service].add(l)
+}
+
 // request returns the unfinished request with the given ID, and creates it if there is none.
 func (t *tally) request(id string) *request {
 	r, found := t.unfinished[id]
@@ -80,7 +94,7 @@
 	return r
 }
 
-// write prints the counts in descending order, and the numbers of unfinished requests and of dropped log lines.
+// write prints the counts in descending order, how often targets got keys that they had served, and the numbers of unfinished requests and of dropped log lines.
 func (t *tally) write(out io.Writer) error {
 	keys := slices.SortedFunc(maps.Keys(t.counts), func(a, b tableKey) int {
 		return cmp.Or(cmp.Compare(t.counts[b], t.counts[a]), cmp.Compare(a.route, b.route), cmp.Compare(a.cause, b.cause))
@@ -89,6 +103,7 @@
 	for _, k := range keys {
 		text += fmt.Sprintf("| %s | %s | %d | %.3f |\n", k.route, k.cause, t.counts[k], t.totalTime[k]/float64(t.counts[k]))
 	}
+	text += "\n" + localityTable(t.locality)
 	dropped := 0
 	for _, n := range t.droppedLines {
 		dropped += n
