--- a/entry/place/choice.go
+++ b/entry/place/choice.go
@@ -1,7 +1,6 @@
 package place
 
 import (
-	"math/rand/v2"
 	"time"
 
 	"ebonyrouter.dev/core"
@@ -181,7 +180,7 @@
 	if len(targets) == 0 {
 		return
 	}
-	first := rand.IntN(len(targets))
+	first := int(c.RandomInt(int64(len(targets))))
 	for i := range targets {
 		t := targets[(first+i)%len(targets)]
 		if c.places.find(t) < maxPlaces || !c.usable(t, c.request, c.now) {
--- a/entry/place/config.go
+++ b/entry/place/config.go
@@ -20,6 +20,8 @@
 	MaxRemoteStep float64
 	// HostNames returns the names of all registered hosts of a region, including this one, or of all regions if region is empty.
 	HostNames func(region string) []string
+	// RandomInt returns a random number below n; it is rand.Int64N if it is nil.
+	RandomInt func(n int64) int64
 	Registry  core.TargetRegistry
 	Settings  core.SettingsSource
 	Timer     core.Timer
--- a/entry/place/placer.go
+++ b/entry/place/placer.go
@@ -30,6 +30,9 @@
 
 // New returns a Placer without targets.
 func New(config Config) *Placer {
+	if config.RandomInt == nil {
+		config.RandomInt = rand.Int64N
+	}
 	return &Placer{
 		Config:        config,
 		remoteShare:   remoteShare{maxStep: config.MaxRemoteStep},
@@ -103,14 +106,14 @@
 		return nil
 	}
 	if remaining := request.Deadline.Sub(now); best.expected > remaining {
-		return rejectLate(best.expected-remaining, "the expected response comes after the deadline, and others would wait for it")
+		return p.rejectLate(best.expected-remaining, "the expected response comes after the deadline, and others would wait for it")
 	}
 	if request.LatencyObjective == 0 {
 		return nil
 	}
 	expected := p.latencyRatios.correct(request.Service, best.expected)
 	if remaining := request.LatencyObjective.Sub(now); expected > remaining {
-		return rejectLate(expected-remaining, "the expected response comes after the aim, and others would wait for it")
+		return p.rejectLate(expected-remaining, "the expected response comes after the aim, and others would wait for it")
 	}
 	return nil
 }
@@ -268,8 +271,8 @@
 
 // rejectLate returns the rejection of a request whose response is expected to miss its deadline or latency objective by
 // excess. A random part is added to RetryAfter, so that rejected callers do not all retry at once.
-func rejectLate(excess time.Duration, text string) *core.RejectedError {
+func (p *Placer) rejectLate(excess time.Duration, text string) *core.RejectedError {
 	wait := max(minRetryAfter, excess)
-	wait += time.Duration(rand.Int64N(int64(wait)))
+	wait += time.Duration(p.RandomInt(int64(wait)))
 	return &core.RejectedError{Code: codes.QueueFull, RetryAfter: wait, Text: text}
 }
