Reject a request that is expected after its deadline unless its target has free slots

Cause: on reading the diff: up to two requests a slot with a known key were queued also if their response was expected after the deadline, so that callers waited for what could not be served. Change: the larger limit holds only for requests that are expected before their deadline; a target with free slots is still tried. TestLateRequestsByKnownKey has the case, which fails without the change (6 instead of 3).

--- a/entry/place/choice.go
+++ b/entry/place/choice.go
@@ -156,7 +156,7 @@
 		candidate.cost += c.remoteBias
 	}
 	c.best = c.best.better(candidate)
-	if (place < latePlaces || c.key == 0) && candidate.roomForLate(c.now) {
+	if (place < latePlaces || c.key == 0) && candidate.roomForLate(c.now, c.request.Deadline.Sub(c.now)) {
 		c.spare = c.spare.better(candidate)
 	}
 }
--- a/entry/place/place_test.go
+++ b/entry/place/place_test.go
@@ -320,17 +320,19 @@
 // with those that it serves slowly: the limit of requests that are expected late depends on what the target knows.
 func TestLateRequestsByKnownKey(t *testing.T) {
 	cases := map[string]struct {
-		known float64
-		want  int
+		known    float64
+		expected time.Duration
+		want     int
 	}{
-		"known key":   {1, 6},
-		"unknown key": {0, 3},
-		"not certain": {0.5, 5},
+		"known key":          {1, time.Second, 6},
+		"unknown key":        {0, time.Second, 3},
+		"not certain":        {0.5, time.Second, 5},
+		"after the deadline": {1, 3 * time.Second, 3},
 	}
 	for name, k := range cases {
 		t.Run(name, func(t *testing.T) {
-			c := choice{known: k.known, target: &target{Target: core.Target{Slots: 3}}}
-			for c.roomForLate(0) {
+			c := choice{expected: k.expected, known: k.known, target: &target{Target: core.Target{Slots: 3}}}
+			for c.roomForLate(0, 2*time.Second) {
 				c.target.inFlight++
 			}
 			assert.Equal(t, c.target.inFlight, k.want)
--- a/entry/place/placer.go
+++ b/entry/place/placer.go
@@ -99,10 +99,10 @@
 }
 
 // checkExpected rejects a request whose response is expected after its deadline or latency objective, if it would delay
-// others. Under overload, a queue in which every request waits serves none of them in time. A target with enough free slots
-// always gets the request, whatever its estimate: only a measured response shows that it has become faster.
+// others. Under overload, a queue in which every request waits serves none of them in time. A target with room for late requests
+// always gets the request.
 func (p *Placer) checkExpected(best choice, request *core.AdmitRequest, now core.Instant) *core.RejectedError {
-	if best.roomForLate(now) {
+	if best.roomForLate(now, request.Deadline.Sub(now)) {
 		return nil
 	}
 	if remaining := request.Deadline.Sub(now); best.expected > remaining {
