--- a/entry/place/places.go
+++ b/entry/place/places.go
@@ -1,6 +1,10 @@
 package place
 
-import "ebonyrouter.dev/core"
+import (
+	"slices"
+
+	"ebonyrouter.dev/core"
+)
 
 const (
 	// maxPlaces is the number of targets among which the requests with one affinity key are divided.
@@ -53,7 +57,7 @@
 	count, found, first := 0, 0, r.index(key)
 	for step := range min(maxSteps, len(r)) {
 		next := r[(first+step)%len(r)]
-		if contains(visited[:count], next.target) {
+		if slices.Contains(visited[:count], next.target) {
 			continue
 		}
 		visited[count] = next.target
@@ -67,13 +71,3 @@
 		}
 	}
 }
-
-// contains reports whether a short list contains a target.
-func contains(targets []*target, t *target) bool {
-	for _, other := range targets {
-		if other == t {
-			return true
-		}
-	}
-	return false
-}
--- a/entry/place/recent_keys.go
+++ b/entry/place/recent_keys.go
@@ -1,9 +1,11 @@
 package place
 
+import "slices"
+
 // recentKeysSize is the number of affinity keys that are kept for each target, which is more than targets remember.
 const recentKeysSize = 96
 
-// unseen is the distance of a key that is not among the recent ones.
+// unseen is the distance of a key that is not among the recent ones, as slices.Index returns it.
 const unseen = -1
 
 // recentKeys holds the hashes of the affinity keys that this host sent to a target, the last one first.
@@ -11,12 +13,7 @@
 
 // distance returns the number of other keys that were sent after the last request with a key, or unseen.
 func (r recentKeys) distance(key uint64) int {
-	for i, k := range r {
-		if k == key {
-			return i
-		}
-	}
-	return unseen
+	return slices.Index(r, key)
 }
 
 // use moves a key to the front. A new key replaces the oldest one if there are recentKeysSize of them.
--- a/entry/place/ring.go
+++ b/entry/place/ring.go
@@ -38,14 +38,6 @@
 
 // index returns the index of the first point at or after the position of a key; it is len(r) beyond the last point.
 func (r ring) index(key uint64) int {
-	low, high := 0, len(r)
-	for low < high {
-		middle := (low + high) / 2
-		if r[middle].position < key {
-			low = middle + 1
-		} else {
-			high = middle
-		}
-	}
-	return low
+	i, _ := slices.BinarySearchFunc(r, key, func(p point, key uint64) int { return cmp.Compare(p.position, key) })
+	return i
 }
