Prepare the comparison of targets once for each request

The choice prepared the same estimates and hashed the affinity key again for a second comparison, the grant and the log line; a grant kept its target beside the choice that has it; the state of the target was read twice where a spare target is taken; two loops repeated slices.Index and slices.Delete; two fakes of one interface stood in one test file.

Change: newComparison prepares, among compares parts on a copy; the choice carries the key, and the grant only the choice; places.usable replaces a search of its own; one fake. Comments are wrapped and fields of a struct stand by what they belong to. No behaviour, bound or assertion changes.

Ruled out: sharing the event heap of the load test with that of entry/limit/sim_test.go (two packages; it would take a package that is not a test), and the reset loops of steer/target and steer/roster (other types, and the house has no generics).

--- a/core/in_flight.go
+++ b/core/in_flight.go
@@ -16,12 +16,11 @@
 type InFlight struct {
 	_msgpack struct{} `msgpack:",as_array"` //nolint:unused // Read by the msgpack package.
 
-	Counts  []int    `json:"counts" msgpack:"counts"`
-	Host    string   `json:"host" msgpack:"host"`
-	Targets []uint32 `json:"targets" msgpack:"targets"`
-	Rate    float64  `json:"rate" msgpack:"rate"`
-
-	Stopping bool `json:"stopping" msgpack:"stopping"`
+	Counts   []int    `json:"counts" msgpack:"counts"`
+	Host     string   `json:"host" msgpack:"host"`
+	Targets  []uint32 `json:"targets" msgpack:"targets"`
+	Rate     float64  `json:"rate" msgpack:"rate"`
+	Stopping bool     `json:"stopping" msgpack:"stopping"`
 }
 
 // Validate implements Validator.Validate.
--- a/entry/intake/server.go
+++ b/entry/intake/server.go
@@ -79,8 +79,8 @@
 	}
 }
 
-// Shutdown stops accepting connections, closes each connection after the responses to the requests of which a part has been read, and
-// waits until all are closed or ctx is done.
+// Shutdown stops accepting connections, closes each connection after the responses to the requests of which a part has been
+// read, and waits until all are closed or ctx is done.
 func (s *Server) Shutdown(ctx context.Context) error {
 	s.closeAll(func(c *conn) { c.closeAfterResponses() })
 	done := make(chan struct{})
--- a/entry/place/choice.go
+++ b/entry/place/choice.go
@@ -1,6 +1,7 @@
 package place
 
 import (
+	"slices"
 	"time"
 
 	"ebonyrouter.dev/core"
@@ -24,7 +25,8 @@
 type choice struct {
 	// cost is what choices are compared by: expected and the cost to later requests.
 	cost time.Duration
-	// distance and place are those of the request's affinity key.
+	// key is the hash of the request's affinity key, and distance and place are those of the target for it.
+	key      uint64
 	distance int
 	place    int
 	// expected is the time until the response.
@@ -65,14 +67,24 @@
 	places  places
 	request *core.AdmitRequest
 	service *service
+	// remoteBias is added to the cost of remote targets, and unbiased is the best choice without it.
+	remoteBias time.Duration
+	unbiased   choice
 	// meanTime is the mean service time of the service in nanoseconds, unknownTime that of the request's route if the target
 	// does not know the key, and savedTime what a known key saves.
-	meanTime float64
-	// remoteBias is added to the cost of remote targets, and unbiased is the best choice without it.
-	remoteBias  time.Duration
-	unbiased    choice
-	savedTime   float64
+	meanTime    float64
 	unknownTime float64
+	savedTime   float64
+}
+
+// newComparison returns a comparison for a request to a service, without results.
+func (p *Placer) newComparison(s *service, request *core.AdmitRequest, now core.Instant) comparison {
+	c := comparison{Placer: p, key: affinity(request), now: now, request: request, service: s}
+	c.meanTime = float64(p.serviceTimes.serviceMean(request.Service))
+	c.unknownTime = float64(p.serviceTimes.routeMean(request.Route, false))
+	c.savedTime = c.unknownTime - float64(p.serviceTimes.routeMean(request.Route, true))
+	c.remoteBias = time.Duration(remoteBiasPart * p.remoteShare.pressure() * c.savedTime)
+	return c
 }
 
 // choose compares the places of the request's affinity key and some other targets of all regions. If remoteShare does not
@@ -84,14 +96,15 @@
 	if s == nil {
 		return selection{}
 	}
+	c := p.newComparison(s, request, now)
 	if !p.localWorking(s, request) {
-		selected := p.compare(s, request, now, &s.remote)
+		selected := c.among(&s.remote)
 		if selected.best.target != nil {
 			selected.forced, selected.wantsRemote = true, true
 			return selected
 		}
 	}
-	wanted := p.compare(s, request, now, &s.local, &s.remote)
+	wanted := c.among(&s.local, &s.remote)
 	if wanted.best.target == nil {
 		return wanted
 	}
@@ -99,9 +112,9 @@
 	remote := wanted.best.target.Region != p.Region
 	switch {
 	case remote && !p.remoteShare.allowsRemote():
-		selected = p.compare(s, request, now, &s.local)
+		selected = c.among(&s.local)
 	case !remote && p.remoteShare.requiresRemote():
-		if selected = p.compare(s, request, now, &s.remote); selected.best.target == nil {
+		if selected = c.among(&s.remote); selected.best.target == nil {
 			selected = wanted
 		}
 	}
@@ -109,26 +122,21 @@
 	return selected
 }
 
-// compare selects a target among the given parts of the service's targets.
-func (p *Placer) compare(s *service, request *core.AdmitRequest, now core.Instant, parts ...*regionTargets) selection {
-	c := comparison{Placer: p, key: affinity(request), now: now, request: request, service: s}
-	c.meanTime = float64(p.serviceTimes.serviceMean(request.Service))
-	c.unknownTime = float64(p.serviceTimes.routeMean(request.Route, false))
-	c.savedTime = c.unknownTime - float64(p.serviceTimes.routeMean(request.Route, true))
-	c.remoteBias = time.Duration(remoteBiasPart * p.remoteShare.pressure() * c.savedTime)
+// among selects a target among the given parts of the service's targets. It works on a copy of the comparison.
+func (c comparison) among(parts ...*regionTargets) selection {
 	if c.key != 0 {
 		for _, part := range parts {
-			p.addPlaces(&c.places, s.ringOf(part), request, c.key, now)
+			c.addPlaces(&c.places, c.service.ringOf(part), c.request, c.key, c.now)
 		}
 		c.home = c.findHome()
 	}
-	for i := range c.places.count {
-		c.consider(c.places.targets[i], i)
+	for i, t := range c.places.usable() {
+		c.consider(t, i)
 	}
 	if c.needsSample() {
 		c.considerSamples(parts)
 	}
-	c.wantsRemote = c.unbiased.target != nil && c.unbiased.target.Region != p.Region
+	c.wantsRemote = c.unbiased.target != nil && c.unbiased.target.Region != c.Region
 	return c.selection
 }
 
@@ -140,8 +148,8 @@
 // findHome returns the place of the first target that is likely to know the key since this host sent it there. A key stays
 // there when a target with an earlier place joins.
 func (c *comparison) findHome() int {
-	for i := range c.places.count {
-		if d := c.places.targets[i].keys.distance(c.key); d != unseen && c.service.recall.probability(i, d) > 0.5 {
+	for i, t := range c.places.usable() {
+		if d := t.keys.distance(c.key); d != unseen && c.service.recall.probability(i, d) > 0.5 {
 			return i
 		}
 	}
@@ -183,7 +191,7 @@
 	first := int(c.RandomInt(int64(len(targets))))
 	for i := range targets {
 		t := targets[(first+i)%len(targets)]
-		if c.places.find(t) < maxPlaces || !c.usable(t, c.request, c.now) {
+		if slices.Contains(c.places.usable(), t) || !c.usable(t, c.request, c.now) {
 			continue
 		}
 		c.consider(t, maxPlaces)
--- a/entry/place/estimate.go
+++ b/entry/place/estimate.go
@@ -16,7 +16,9 @@
 
 // estimate estimates the time until a target's response: the round-trip time, the wait for a slot and the service time.
 func (c *comparison) estimate(t *target, place int) choice {
-	candidate := choice{distance: unseen, place: place, slowdown: max(t.currentSlowdown(c.now), t.overdueSlowdown(c.now)), target: t}
+	candidate := choice{
+		key: c.key, distance: unseen, place: place, slowdown: max(t.currentSlowdown(c.now), t.overdueSlowdown(c.now)), target: t,
+	}
 	serviceTime, penalty := c.unknownTime, 0.0
 	if c.key != 0 {
 		candidate.distance = t.keys.distance(c.key)
--- a/entry/place/grant.go
+++ b/entry/place/grant.go
@@ -11,6 +11,7 @@
 
 // grant is the permission to send one request to a target; it counts as in flight there until it is released.
 type grant struct {
+	// choice is the target and what was expected of it.
 	choice choice
 	// sent is the time at which the target was chosen.
 	sent core.Instant
@@ -21,7 +22,6 @@
 	ref       core.TargetRef
 	request   core.AdmitRequest
 	released  bool
-	target    *target
 }
 
 // Release implements core.Grant.Release.
--- a/entry/place/in_flight_exchange_test.go
+++ b/entry/place/in_flight_exchange_test.go
@@ -37,10 +37,10 @@
 	assert.NilError(t, err)
 	f, p := newFixture(readyTarget("a", "r1", "z1"), readyTarget("b", "r1", "z2"))
 	p.updateTargets()
-	rates := fakeRates{}
-	e := &InFlightExchange{Log: zap.NewNop(), Placer: p, Hosts: rates, Timer: f.timer}
+	hosts := newFakeHosts()
+	e := &InFlightExchange{Log: zap.NewNop(), Placer: p, Hosts: hosts, Timer: f.timer}
 	e.Handle("peer", payload)
-	assert.Equal(t, len(rates), 1)
+	assert.Equal(t, len(hosts.rates), 1)
 	e.Handle("peer", []byte("x"))
 	grant, err := p.Admit(t.Context(), f.request(time.Minute))
 	assert.NilError(t, err)
@@ -149,32 +149,30 @@
 	f, p := newFixture(readyTarget("a", "r1", "z1"))
 	links := &fakeLinks{}
 	peers := []string{"1", "2", "3", "4", "5", "6"}
-	hosts := fakeHosts{}
+	hosts := newFakeHosts()
 	e := &InFlightExchange{Hosts: hosts, Links: links, Log: zap.NewNop(), Peers: func() []string { return peers }, Placer: p, Timer: f.timer}
 	assert.Assert(t, !e.report().Stopping)
 	e.AnnounceStop()
 	assert.DeepEqual(t, links.sent, peers)
-	assert.Assert(t, hosts["h"] && e.report().Stopping)
+	assert.Assert(t, hosts.stopping["h"] && e.report().Stopping)
 	payload, err := wire.Encode(e.report())
 	assert.NilError(t, err)
-	other := fakeHosts{}
+	other := newFakeHosts()
 	(&InFlightExchange{Hosts: other, Log: zap.NewNop(), Placer: p}).Handle("peer", payload)
-	assert.Assert(t, other["h"])
+	assert.Assert(t, other.stopping["h"])
 }
 
-// fakeHosts records which hosts are stopping.
-type fakeHosts map[string]bool
-
-func (f fakeHosts) RecordRate(string, float64) {}
-
-func (f fakeHosts) RecordStopping(host string, stopping bool) { f[host] = stopping }
+// fakeHosts records what hosts report about themselves.
+type fakeHosts struct {
+	rates    map[string]float64
+	stopping map[string]bool
+}
 
-// fakeRates records the reported request rates by host.
-type fakeRates map[string]float64
+func newFakeHosts() fakeHosts { return fakeHosts{map[string]float64{}, map[string]bool{}} }
 
-func (f fakeRates) RecordStopping(string, bool) {}
+func (f fakeHosts) RecordRate(host string, perSecond float64) { f.rates[host] = perSecond }
 
-func (f fakeRates) RecordRate(host string, perSecond float64) { f[host] = perSecond }
+func (f fakeHosts) RecordStopping(host string, stopping bool) { f.stopping[host] = stopping }
 
 // TestRequestRate guards against a request rate that overstates bursts, or that never returns to 0 on an idle host.
 func TestRequestRate(t *testing.T) {
--- a/entry/place/logs.go
+++ b/entry/place/logs.go
@@ -27,10 +27,11 @@
 }
 
 // logPlaced logs the reasons for sending a request to its target.
-func (p *Placer) logPlaced(g *grant, best choice, state targetState) {
+func (p *Placer) logPlaced(g *grant, state targetState) {
+	chosen := &g.choice
 	event.RequestPlaced.Write(p.Log, append(state.fields(g.request.RequestID, g.request.Service), zap.String("target", g.ref.Target),
-		zap.Uint64("key", affinity(&g.request)), zap.Bool("known_key", best.known > 0.5), zap.Int("place", best.place), zap.Int("key_distance", best.distance),
-		zap.Bool("other_region", g.target.Region != p.Region), zap.Duration("expected", best.expected))...)
+		zap.Uint64("key", chosen.key), zap.Bool("known_key", chosen.known > 0.5), zap.Int("place", chosen.place), zap.Int("key_distance", chosen.distance),
+		zap.Bool("other_region", chosen.target.Region != p.Region), zap.Duration("expected", chosen.expected))...)
 }
 
 // logRejected logs the reasons for rejecting a request.
--- a/entry/place/overdue.go
+++ b/entry/place/overdue.go
@@ -1,6 +1,7 @@
 package place
 
 import (
+	"slices"
 	"time"
 
 	"ebonyrouter.dev/core"
@@ -39,13 +40,7 @@
 
 // removeOutstanding removes a grant whose first outcome is known.
 func (t *target) removeOutstanding(g *grant) {
-	for i, other := range t.outstanding {
-		if other == g {
-			last := len(t.outstanding) - 1
-			t.outstanding[i] = t.outstanding[last]
-			t.outstanding[last] = nil
-			t.outstanding = t.outstanding[:last]
-			return
-		}
+	if i := slices.Index(t.outstanding, g); i >= 0 {
+		t.outstanding = slices.Delete(t.outstanding, i, i+1)
 	}
 }
--- a/entry/place/placer.go
+++ b/entry/place/placer.go
@@ -52,7 +52,7 @@
 		p.logRejected(&request, best, state, rejected, now)
 		return nil, rejected
 	}
-	p.logPlaced(granted, best, state)
+	p.logPlaced(granted, state)
 	return granted, nil
 }
 
@@ -70,14 +70,13 @@
 		}
 	}
 	p.remoteShare.decide(selected.wantsRemote)
-	state := p.targetState(best.target, now)
 	if rejected := p.checkExpected(best, request, now); rejected != nil {
 		if selected.spare.target == nil {
-			return best, state, nil, rejected
+			return best, p.targetState(best.target, now), nil, rejected
 		}
 		best = selected.spare
-		state = p.targetState(best.target, now)
 	}
+	state := p.targetState(best.target, now)
 	granted := p.grant(best, request, now)
 	p.remoteShare.record(best.target.Region != p.Region, selected.forced)
 	return best, state, granted, nil
@@ -90,10 +89,10 @@
 	if t.ColdRemaining(now) > 0 {
 		t.coldNext = now.Add(coldInterval(p.serviceSettings(t).ColdPerSecond))
 	}
-	if key := affinity(request); key != 0 {
-		t.keys.use(key)
+	if chosen.key != 0 {
+		t.keys.use(chosen.key)
 	}
-	granted := &grant{choice: chosen, placer: p, ref: p.ref(t), request: *request, sent: now, target: t}
+	granted := &grant{choice: chosen, placer: p, ref: p.ref(t), request: *request, sent: now}
 	t.outstanding = append(t.outstanding, granted)
 	return granted
 }
@@ -124,7 +123,7 @@
 	now := p.Timer.Now()
 	p.mutex.Lock()
 	defer p.mutex.Unlock()
-	t := g.target
+	t := g.choice.target
 	if !outcome.Abandoned {
 		t.inFlight--
 	}
@@ -152,7 +151,7 @@
 
 // recordLatency applies the latency of a complete response.
 func (p *Placer) recordLatency(g *grant, now core.Instant, outcome *core.Outcome) {
-	t := g.target
+	t := g.choice.target
 	serviceTime := max(time.Millisecond, outcome.Latency-p.roundTrip(t))
 	if outcome.HasLoad && outcome.Load.Queued > 0 {
 		// With queued requests the latency reflects the queue rather than the service time.
@@ -168,11 +167,11 @@
 
 // keyWasKnown decides from its service time whether a target knew the key of a request, and records it.
 func (p *Placer) keyWasKnown(g *grant, serviceTime time.Duration, now core.Instant) bool {
-	s := p.services[g.target.Service]
+	s := p.services[g.choice.target.Service]
 	if g.request.AffinityKey == "" || s == nil {
 		return false
 	}
-	known := float64(serviceTime)/g.target.currentSlowdown(now) < float64(p.serviceTimes.knownLimit(g.request.Route))
+	known := float64(serviceTime)/g.choice.target.currentSlowdown(now) < float64(p.serviceTimes.knownLimit(g.request.Route))
 	s.recall.record(g.choice.place, g.choice.distance, known)
 	return known
 }
--- a/entry/place/places.go
+++ b/entry/place/places.go
@@ -24,14 +24,9 @@
 	offsets [maxPlaces]uint64
 }
 
-// find returns the place of a target, or maxPlaces if it is not a place.
-func (l *places) find(t *target) int {
-	for i := range l.count {
-		if l.targets[i] == t {
-			return i
-		}
-	}
-	return maxPlaces
+// usable returns the targets in the order of their places.
+func (l *places) usable() []*target {
+	return l.targets[:l.count]
 }
 
 // insert adds a target at its place in the order of the offsets and drops the last one of more than maxPlaces.
--- a/losses/tally.go
+++ b/losses/tally.go
@@ -94,7 +94,8 @@
 	return r
 }
 
-// write prints the counts in descending order, how often targets got keys that they had served, and the numbers of unfinished requests and of dropped log lines.
+// write prints the counts in descending order, how often targets got keys that they had served, and the numbers of
+// unfinished requests and of dropped log lines.
 func (t *tally) write(out io.Writer) error {
 	keys := slices.SortedFunc(maps.Keys(t.counts), func(a, b tableKey) int {
 		return cmp.Or(cmp.Compare(t.counts[b], t.counts[a]), cmp.Compare(a.route, b.route), cmp.Compare(a.cause, b.cause))
