--- a/Makefile
+++ b/Makefile
@@ -1,10 +1,12 @@
-MODULES := capacity core e2e ebonyctl entry fleet loadgen losses platform steer teststore testup
+MODULES := capacity core e2e ebonyctl entry fleet loadgen losses platform soak steer teststore testup
 PACKAGES := $(addsuffix /...,$(addprefix ./,$(MODULES)))
 PROGRAMS := $(filter-out core e2e fleet,$(MODULES))
 
 # The end-to-end tests spend most of their time waiting, so several run in parallel.
 E2E_FLAGS ?= -parallel=3
 
+SOAK_FLAGS ?=
+
 BENCH := go test -run '^$$' -count=1 -bench
 
 # calm, days and hunt need BENCH, the bench program of the platform's users, and SITE, one of their site files, on the
@@ -15,7 +17,7 @@
 DAYS ?= 40
 WHY ?= make
 
-.PHONY: build calm capacity check days demo e2e fmt fmt-check hunt lint models models-bounded test
+.PHONY: build calm capacity check days demo e2e fmt fmt-check hunt lint models models-bounded soak test
 
 build: ## Builds every program into bin/.
 	mkdir -p bin
@@ -61,5 +63,11 @@
 models-bounded: ## Checks the protocol models in small state spaces, and their mutants.
 	models/check.sh --bounded
 
+soak: ## Disturbs the platform's program as real processes: make soak [SOAK_FLAGS='--seed 7 --duration 60s'].
+	mkdir -p bin
+	go build -o bin/soak ./soak
+	go build -ldflags=-linkmode=external -o target/ ./platform
+	bin/soak $(SOAK_FLAGS)
+
 test: ## Runs all tests except the end-to-end tests with the race detector.
 	EBONY_TEST_FLAGS="-race -count=1 -timeout 15m" scripts/test.sh $(filter-out ./e2e/...,$(PACKAGES))
