Keep the limit of response heads once it is reached

Cause: conn.Read dropped the bytes with which the limit was exceeded and returned the error once. bufio.Reader.ReadLine ignores an error after a part of a line, and the next read was not limited any more and began in the middle of a line, where a line end was taken for the end of the head. Ruled out: the limits of bodies and of request heads.

Change: all reads beyond the limit fail and drop nothing; the limit is 64 KB instead of 1 MB.

--- a/entry/proxy/conn.go
+++ b/entry/proxy/conn.go
@@ -17,7 +17,7 @@
 )
 
 // maxResponseHeadBytes limits the head of a response.
-const maxResponseHeadBytes = 1 << 20
+const maxResponseHeadBytes = 64 << 10
 
 // errHeadTooLarge means that the head of a response exceeds maxResponseHeadBytes.
 const errHeadTooLarge = errors.ConstError("response head too large")
@@ -74,16 +74,19 @@
 	return c
 }
 
-// Read implements io.Reader and limits the size of a response head.
+// Read implements io.Reader and limits the size of a response head. All reads beyond the limit fail, because bufio drops an error
+// that follows a part of a line.
 func (c *conn) Read(data []byte) (int, error) {
+	if c.headRemaining == 0 {
+		return 0, errHeadTooLarge
+	}
+	if c.headRemaining > 0 && int64(len(data)) > c.headRemaining {
+		data = data[:c.headRemaining]
+	}
 	n, err := c.socket.Read(data)
 	c.recordReset(err)
-	if c.headRemaining < 0 {
-		return n, err
-	}
-	c.headRemaining -= int64(n)
-	if c.headRemaining < 0 {
-		return 0, errHeadTooLarge
+	if c.headRemaining > 0 {
+		c.headRemaining -= int64(n)
 	}
 	return n, err
 }
--- a/entry/proxy/endless_test.go
+++ b/entry/proxy/endless_test.go
@@ -3,6 +3,8 @@
 import (
 	"io"
 	"net"
+	"net/http"
+	"runtime"
 	"strings"
 	"sync/atomic"
 	"testing"
@@ -59,7 +61,11 @@
 			url, _ := fx.start(t, "a", nil)
 			begin := time.Now()
 			got, err := call(t, "GET", url, "", nil)
-			assert.Assert(t, err != nil || got.status >= 500, "%d %q", got.status, got.body)
+			if strings.Contains(k.start, "\r\n\r\n") {
+				assert.Assert(t, err != nil || got.status >= 500, "%d %q", got.status, got.body)
+			} else {
+				assert.Assert(t, err == nil && got.status >= 500, "%d, %d bytes, %v", got.status, len(got.body), err)
+			}
 			failed := false
 			for released := false; !released; {
 				outcome := <-fx.outcomes
@@ -75,3 +81,37 @@
 		})
 	}
 }
+
+// TestEndlessHeadMemory guards against a host that runs out of memory because upstreams send header lines without end.
+func TestEndlessHeadMemory(t *testing.T) {
+	const (
+		requests = 20
+		// permittedBytes for each response lets a host with 184 MB read more than 90 of them at once.
+		permittedBytes = 2 << 20
+	)
+	var responses atomic.Int64
+	lines := []byte(strings.Repeat("X: y\r\n", 512))
+	up := newScriptedUpstream(t, func(_ int64, c net.Conn) {
+		_ = readRequest(c)
+		responses.Add(1)
+		_, err := io.WriteString(c, "HTTP/1.1 200 OK\r\n")
+		for err == nil {
+			_, err = c.Write(lines)
+		}
+	})
+	fx := newFixture(up.address)
+	url, _ := fx.start(t, "a", nil)
+	var before, after runtime.MemStats
+	runtime.ReadMemStats(&before)
+	for range requests {
+		got, err := call(t, "GET", url, "", nil)
+		assert.NilError(t, err)
+		assert.Equal(t, got.status, http.StatusBadGateway)
+		for released := false; !released; {
+			released = !(<-fx.outcomes).Abandoned
+		}
+	}
+	runtime.ReadMemStats(&after)
+	perResponse := (after.TotalAlloc - before.TotalAlloc) / uint64(responses.Load())
+	assert.Assert(t, perResponse < permittedBytes, "%d bytes are allocated for each response", perResponse)
+}
