Serve requests that have arrived when a stop closes idle connections

Cause: a stop ended the reading of idle connections at once, also if a request was in the socket's buffer and the process had not had the processor time to read it. Evidence: TestShutdownServesArrivedRequest, whose connection is read late, got a reset before.

Change: an idle connection is closed 0.2 s later; a request that arrives until then is served, with Connection: close.

--- a/entry/intake/conn.go
+++ b/entry/intake/conn.go
@@ -16,6 +16,9 @@
 )
 
 const (
+	// idleCloseDelay is the time for which a request may still arrive on an idle connection that is about to be closed. A request that
+	// is in the socket's buffer is read even if the process gets no processor time for a while.
+	idleCloseDelay = 200 * time.Millisecond
 	// discardTime is the time for which remaining input is read and discarded after the last response. An earlier close
 	// would reset the connection before the caller has read the response.
 	discardTime = 500 * time.Millisecond
@@ -172,14 +175,14 @@
 }
 
 // closeAfterResponses closes the connection after the responses to the requests of which a part has been read. On an idle
-// connection it ends the wait for the next request: what is still in transit is not read, so the caller may safely send it
-// again.
+// connection it ends the wait for the next request after idleCloseDelay: what is still in transit then is not read, so the caller may
+// safely send it again.
 func (c *conn) closeAfterResponses() {
 	c.mutex.Lock()
 	defer c.mutex.Unlock()
 	c.closeRequested = true
 	if c.pendingResponses == 0 && !c.readingRequest {
-		_ = c.socket.SetReadDeadline(time.Now())
+		_ = c.socket.SetReadDeadline(time.Now().Add(idleCloseDelay))
 	}
 }
 
--- a/entry/intake/intake_test.go
+++ b/entry/intake/intake_test.go
@@ -399,6 +399,58 @@
 	}
 }
 
+// slowReader delays all reads of a connection until it is released, as for a process that gets no processor time.
+type slowReader struct {
+	net.Conn
+	release chan struct{}
+}
+
+func (s *slowReader) Read(data []byte) (int, error) {
+	<-s.release
+	return s.Conn.Read(data)
+}
+
+// slowListener accepts connections as slowReaders.
+type slowListener struct {
+	net.Listener
+	release chan struct{}
+}
+
+func (s *slowListener) Accept() (net.Conn, error) {
+	c, err := s.Listener.Accept()
+	return &slowReader{c, s.release}, err
+}
+
+// TestShutdownServesArrivedRequest guards against a planned stop that closes a connection on which a request has arrived but was not
+// read yet. Its caller waited for the response for longer than a close in transit takes.
+func TestShutdownServesArrivedRequest(t *testing.T) {
+	s, _ := start(t, func(w http.ResponseWriter, r *http.Request) { _, _ = io.WriteString(w, r.URL.Path) })
+	inner, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NilError(t, err)
+	l := &slowListener{inner, make(chan struct{})}
+	served := make(chan error, 1)
+	go func() { served <- s.Serve(l) }()
+	c := dial(t, inner.Addr().String())
+	c.send(get("/x"))
+	time.Sleep(50 * time.Millisecond) // The request is in the socket's buffer.
+	done := make(chan error, 1)
+	go func() { done <- s.Shutdown(t.Context()) }()
+	assert.ErrorIs(t, <-served, intake.ErrClosed)
+	poll.WaitOn(t, func(poll.LogT) poll.Result {
+		if !s.ClosingAll() {
+			return poll.Continue("Shutdown has not reached the connection")
+		}
+		return poll.Success()
+	})
+	close(l.release)
+	got := c.receive("GET")
+	assert.Equal(t, got.body, "/x")
+	assert.Assert(t, got.close)
+	c.closed()
+	assert.NilError(t, c.Close())
+	assert.NilError(t, <-done)
+}
+
 // TestShutdownDoesNotWaitForIncompleteHead guards against a shutdown that waits longer than HeaderTimeout for the rest of a
 // request head.
 func TestShutdownDoesNotWaitForIncompleteHead(t *testing.T) {
