Share the limit of message heads between callers and targets

Cause: found on reading the change again. Change: heads.Reader limits the heads of both; the errors, limits and tests stay.

--- /dev/null
+++ b/entry/heads/doc.go
@@ -0,0 +1,2 @@
+// Package heads limits the size of message heads.
+package heads
--- a/entry/intake/conn.go
+++ b/entry/intake/conn.go
@@ -13,6 +13,7 @@
 	"go.uber.org/zap"
 
 	"ebonyrouter.dev/core/event"
+	"ebonyrouter.dev/entry/heads"
 )
 
 const (
@@ -40,8 +41,8 @@
 	ended bool
 	// writeClosed means that the last response was written and the connection is closed for writing.
 	writeClosed bool
-	// headRemaining is the number of bytes left for the request head; it is negative while a body is read.
-	headRemaining    int64
+	// head limits the size of request heads.
+	head             *heads.Reader
 	lastExchange     *exchange
 	mutex            sync.Mutex
 	pendingResponses int
@@ -61,25 +62,11 @@
 func newConn(server *Server, socket net.Conn) *conn {
 	c := &conn{pipelineTokens: make(chan struct{}, max(1, server.MaxPipelined)), socket: socket, server: server, writer: bufio.NewWriter(socket)}
 	c.ctx, c.cancel = context.WithCancel(context.Background())
-	c.reader = bufio.NewReader(c)
+	c.head = &heads.Reader{Source: socket, TooLarge: errHeadTooLarge}
+	c.reader = bufio.NewReader(c.head)
 	return c
 }
 
-// Read implements io.Reader and limits the size of a request head.
-func (c *conn) Read(data []byte) (int, error) {
-	if c.headRemaining == 0 {
-		return 0, errHeadTooLarge
-	}
-	if c.headRemaining > 0 && int64(len(data)) > c.headRemaining {
-		data = data[:c.headRemaining]
-	}
-	n, err := c.socket.Read(data)
-	if c.headRemaining > 0 {
-		c.headRemaining -= int64(n)
-	}
-	return n, err
-}
-
 // abort closes the connection immediately and cancels its requests.
 func (c *conn) abort(reason string, cause error) {
 	c.mutex.Lock()
@@ -141,16 +128,16 @@
 		if c.closesWhileIdle() {
 			return nil, ErrClosed
 		}
-		c.headRemaining = c.server.MaxHeaderBytes
+		c.head.Begin(c.server.MaxHeaderBytes)
 		if _, err := c.reader.Peek(1); err != nil {
 			return nil, err
 		}
 	}
 	c.beginRequest()
-	c.headRemaining = max(0, c.server.MaxHeaderBytes-int64(c.reader.Buffered()))
+	c.head.Begin(c.server.MaxHeaderBytes - int64(c.reader.Buffered()))
 	_ = c.socket.SetReadDeadline(time.Now().Add(c.server.HeaderTimeout))
 	request, err := http.ReadRequest(c.reader)
-	c.headRemaining = -1
+	c.head.End()
 	if err != nil {
 		return nil, err
 	}
@@ -237,7 +224,7 @@
 	c.cancel()
 	if c.isEnded() {
 		_ = c.socket.SetReadDeadline(time.Now().Add(discardTime))
-		c.headRemaining = -1
+		c.head.End()
 		_, _ = io.Copy(io.Discard, c.reader)
 	}
 }
--- a/entry/proxy/conn.go
+++ b/entry/proxy/conn.go
@@ -14,6 +14,7 @@
 	"github.com/juju/errors"
 
 	"ebonyrouter.dev/core"
+	"ebonyrouter.dev/entry/heads"
 )
 
 // maxResponseHeadBytes limits the head of a response.
@@ -39,9 +40,9 @@
 	// cancelled means that the exchange was cancelled, so nothing more is read for it.
 	cancelled atomic.Bool
 	deadline  core.Instant
-	// headRemaining is the number of bytes left for the response head; it is negative while a body is read.
-	headRemaining int64
-	idleSince     core.Instant
+	// head limits the size of response heads.
+	head      *heads.Reader
+	idleSince core.Instant
 	// keepAlive is the idle timeout announced by the other end, or 0 if it announced none.
 	keepAlive time.Duration
 	// leaseExpired means that a write was refused. It is recorded here because Request.Write hides the cause of some
@@ -69,25 +70,16 @@
 
 func newConn(socket net.Conn, pool *pool, timer core.Timer) *conn {
 	c := &conn{openedAt: timer.Now(), pool: pool, socket: socket, timer: timer}
-	c.reader = bufio.NewReader(c)
+	c.head = &heads.Reader{Source: c, TooLarge: errHeadTooLarge}
+	c.reader = bufio.NewReader(c.head)
 	c.writer = bufio.NewWriter(c)
 	return c
 }
 
-// Read implements io.Reader and limits the size of a response head. All reads beyond the limit fail, because bufio drops an error
-// that follows a part of a line.
+// Read implements io.Reader and records resets.
 func (c *conn) Read(data []byte) (int, error) {
-	if c.headRemaining == 0 {
-		return 0, errHeadTooLarge
-	}
-	if c.headRemaining > 0 && int64(len(data)) > c.headRemaining {
-		data = data[:c.headRemaining]
-	}
 	n, err := c.socket.Read(data)
 	c.recordReset(err)
-	if c.headRemaining > 0 {
-		c.headRemaining -= int64(n)
-	}
 	return n, err
 }
 
@@ -138,7 +130,7 @@
 	c.attemptDeadline = min(attemptDeadline, deadline)
 	c.validUntil = validUntil
 	c.toTarget = false
-	c.headRemaining = maxResponseHeadBytes
+	c.head.Begin(maxResponseHeadBytes)
 	c.leaseExpired = false
 	c.writeFailed = false
 	c.bytesWritten = 0
@@ -240,7 +232,7 @@
 			return nil, nil, errProtocolSwitched
 		}
 		if response.StatusCode >= http.StatusOK {
-			c.headRemaining = -1
+			c.head.End()
 			c.recordKeepAlive(response.Header)
 			return response, informational, nil
 		}
--- a/entry/proxy/dialect.go
+++ b/entry/proxy/dialect.go
@@ -69,7 +69,7 @@
 		if _, err := io.CopyN(io.Discard, response.Body, maxSkippedBytes); !errors.Is(err, io.EOF) {
 			return nil, nil, errOtherRequest
 		}
-		c.headRemaining = maxResponseHeadBytes
+		c.head.Begin(maxResponseHeadBytes)
 	}
 	return nil, nil, errOtherRequest
 }
