--- a/entry/intake/intake_test.go
+++ b/entry/intake/intake_test.go
@@ -313,6 +313,17 @@
 	})
 }
 
+// awaitClosing waits until Shutdown has reached all connections.
+func awaitClosing(t *testing.T, s *intake.Server) {
+	t.Helper()
+	poll.WaitOn(t, func(poll.LogT) poll.Result {
+		if !s.ClosingAll() {
+			return poll.Continue("Shutdown has not reached all connections")
+		}
+		return poll.Success()
+	})
+}
+
 // TestShutdown guards against a shutdown that interrupts requests or waits for idle connections. The handlers return only
 // after Shutdown has reached both connections, which it visits in any order.
 func TestShutdown(t *testing.T) {
@@ -330,12 +341,7 @@
 	go func() { done <- s.Shutdown(t.Context()) }()
 	idle.closed()
 	assert.NilError(t, idle.Close())
-	poll.WaitOn(t, func(poll.LogT) poll.Result {
-		if !s.ClosingAll() {
-			return poll.Continue("Shutdown has not reached the busy connection")
-		}
-		return poll.Success()
-	})
+	awaitClosing(t, s)
 	close(release)
 	first, second := busy.receive("GET"), busy.receive("GET")
 	assert.Equal(t, second.body, "/2")
@@ -381,12 +387,7 @@
 			done := make(chan error, 1)
 			go func() { done <- s.Shutdown(t.Context()) }()
 			assert.ErrorIs(t, <-served, intake.ErrClosed)
-			poll.WaitOn(t, func(poll.LogT) poll.Result {
-				if !s.ClosingAll() {
-					return poll.Continue("Shutdown has not reached the connection")
-				}
-				return poll.Success()
-			})
+			awaitClosing(t, s)
 			c.send(k.after[part:])
 			method, _, _ := strings.Cut(k.after, " ")
 			got := c.receive(method)
@@ -436,12 +437,7 @@
 	done := make(chan error, 1)
 	go func() { done <- s.Shutdown(t.Context()) }()
 	assert.ErrorIs(t, <-served, intake.ErrClosed)
-	poll.WaitOn(t, func(poll.LogT) poll.Result {
-		if !s.ClosingAll() {
-			return poll.Continue("Shutdown has not reached the connection")
-		}
-		return poll.Success()
-	})
+	awaitClosing(t, s)
 	close(l.release)
 	got := c.receive("GET")
 	assert.Equal(t, got.body, "/x")
--- a/soak/caller.go
+++ b/soak/caller.go
@@ -11,6 +11,7 @@
 	"math/rand/v2"
 	"net"
 	"net/http"
+	"slices"
 	"sync"
 	"time"
 
@@ -51,7 +52,7 @@
 	for len(c.idle) > 0 && c.class.habit != habitFresh {
 		k := c.idle[len(c.idle)-1]
 		c.idle = c.idle[:len(c.idle)-1]
-		if containsHost(named, k.host) && time.Since(k.idleSince) < keptIdleLimit {
+		if slices.Contains(named, k.host) && time.Since(k.idleSince) < keptIdleLimit {
 			c.mutex.Unlock()
 			return k, k.host, nil
 		}
@@ -150,15 +151,6 @@
 	return response.Close
 }
 
-// fail records the end of a request without a complete response.
-func (r *request) fail(err error) {
-	r.result, r.cause = resultCut, err.Error()
-	var netErr net.Error
-	if errors.As(err, &netErr) && netErr.Timeout() {
-		r.result = resultTimeout
-	}
-}
-
 func newID() string {
 	var id [8]byte
 	for i := range id {
@@ -166,12 +158,3 @@
 	}
 	return hex.EncodeToString(id[:])
 }
-
-func containsHost(hosts []*host, wanted *host) bool {
-	for _, h := range hosts {
-		if h == wanted {
-			return true
-		}
-	}
-	return false
-}
--- a/soak/directory.go
+++ b/soak/directory.go
@@ -4,6 +4,7 @@
 	"context"
 	"encoding/json"
 	"net/http"
+	"slices"
 	"sync"
 	"time"
 )
@@ -67,10 +68,8 @@
 		return nil, 0, false
 	}
 	for _, candidate := range d.all {
-		for _, address := range body.Addresses {
-			if candidate.front == address {
-				named = append(named, candidate)
-			}
+		if slices.Contains(body.Addresses, candidate.front) {
+			named = append(named, candidate)
 		}
 	}
 	ttl, err = time.ParseDuration(body.TTL)
--- a/soak/request.go
+++ b/soak/request.go
@@ -1,6 +1,10 @@
 package main
 
-import "time"
+import (
+	"errors"
+	"net"
+	"time"
+)
 
 // result is the end of a request as its caller saw it.
 type result int
@@ -33,3 +37,12 @@
 	behind int
 	cause  string
 }
+
+// fail records the end of a request without a complete response.
+func (r *request) fail(err error) {
+	r.result, r.cause = resultCut, err.Error()
+	var netErr net.Error
+	if errors.As(err, &netErr) && netErr.Timeout() {
+		r.result = resultTimeout
+	}
+}
