Declare the interfaces of customers, quotas and proofs of recent settings

Cause: two further customers need API keys, quotas over all hosts and keys that are withdrawn everywhere within a bound. Their parts are built side by side and need common types first. Nothing uses them yet. Measured: go test ./core ./core/config ./core/codes passes; no behaviour changes.

--- a/core/codes/caller.go
+++ b/core/codes/caller.go
@@ -10,6 +10,7 @@
 	TooManyHops     Code = 2005
 	UnknownEndpoint Code = 2006
 	UnknownRoute    Code = 2007
+	UnknownKey      Code = 2008
 )
 
 var callerTable = []Info{
@@ -21,4 +22,5 @@
 	{TooManyHops, "too_many_hops", "The request was relayed more often than permitted.", "Report it: the ownership documents of the hosts disagree."},
 	{UnknownEndpoint, "unknown_endpoint", "No resource of this process has this path.", "Correct the path."},
 	{UnknownRoute, "unknown_route", "No route of the Host name matches the path.", "Correct the path, or add a route."},
+	{UnknownKey, "unknown_key", "The route requires an API key, and the request has none that is known.", "Send a valid API key."},
 }
--- a/core/codes/reject.go
+++ b/core/codes/reject.go
@@ -11,6 +11,8 @@
 	Draining          Code = 3007
 	ReserveKept       Code = 3010
 	QueueAbandoned    Code = 3011
+	QuotaExceeded     Code = 3012
+	SettingsUnproven  Code = 3013
 )
 
 var rejectTable = []Info{
@@ -23,4 +25,6 @@
 	{Draining, "draining", "The entry host is stopping.", "Use another entry host."},
 	{ReserveKept, "reserve_kept", "The free slots of the other region are reserved for its own requests.", "Retry later."},
 	{QueueAbandoned, "queue_abandoned", "The caller disconnected while its request was queued.", "None."},
+	{QuotaExceeded, "quota_exceeded", "The customer has used up its quota.", "Retry after the stated time, or ask for a larger quota."},
+	{SettingsUnproven, "settings_unproven", "This host cannot prove that its API keys are up to date.", "Use another entry host; check its connection to the store."},
 }
--- a/core/config/compile.go
+++ b/core/config/compile.go
@@ -38,6 +38,7 @@
 // newSnapshot returns the snapshot of a checked settings tree.
 func newSnapshot(head core.SettingsHead, settings core.Settings) *core.Snapshot {
 	s := &core.Snapshot{
+		Customers: core.NewCustomerPlan(settings.Customers),
 		Head:      head,
 		Settings:  settings,
 		Policies:  map[string]map[string]core.EffectivePolicy{},
--- a/core/route_settings.go
+++ b/core/route_settings.go
@@ -14,6 +14,8 @@
 	PathPrefix string `json:"path_prefix" msgpack:"path_prefix"`
 	// Priority is the rank of the requests; 0 is the highest.
 	Priority int64 `json:"priority,omitempty" msgpack:"priority"`
+	// Public means that the route requires no API key, also if the settings require keys.
+	Public bool `json:"public,omitempty" msgpack:"public"`
 	// Sticky means that a target serves a request faster if it has recently served the same affinity key.
 	Sticky bool `json:"sticky,omitempty" msgpack:"sticky"`
 	// TimeoutMs is the longest deadline of a request in milliseconds; it replaces DeadlineMs of the policy.
--- a/core/settings.go
+++ b/core/settings.go
@@ -9,9 +9,13 @@
 	Links      []LinkSettings             `json:"links,omitempty" msgpack:"links"`
 	// Routes select services by Host name and path; a Host name with routes needs no service of its own.
 	Routes []RouteSettings `json:"routes,omitempty" msgpack:"routes"`
-	Shifts []ShiftSettings `json:"shifts,omitempty" msgpack:"shifts"`
-	Drains DrainSettings   `json:"drains,omitzero" msgpack:"drains"`
-	Blocks BlockSettings   `json:"blocks,omitzero" msgpack:"blocks"`
+	// Customers hold the API keys of requests and their limits.
+	Customers []CustomerSettings `json:"customers,omitempty" msgpack:"customers"`
+	// RequireKeys means that requests without the API key of a customer are rejected, except on public routes.
+	RequireKeys bool            `json:"require_keys,omitempty" msgpack:"require_keys"`
+	Shifts      []ShiftSettings `json:"shifts,omitempty" msgpack:"shifts"`
+	Drains      DrainSettings   `json:"drains,omitzero" msgpack:"drains"`
+	Blocks      BlockSettings   `json:"blocks,omitzero" msgpack:"blocks"`
 	// StoreRegion is the region of the store, in which the writers of idempotency records are chosen. If it is empty, each
 	// region has its own writers.
 	StoreRegion string `json:"store_region,omitempty" msgpack:"store_region"`
--- a/core/snapshot.go
+++ b/core/snapshot.go
@@ -6,6 +6,8 @@
 type Snapshot struct {
 	Head     SettingsHead
 	Settings Settings
+	// Customers finds the customer of an API key; nil means that there are none.
+	Customers *CustomerPlan
 	// Policies maps service, then availability zone, to the effective policy.
 	Policies map[string]map[string]EffectivePolicy
 	// RegionOf maps each availability zone to its region.
--- a/core/target.go
+++ b/core/target.go
@@ -63,6 +63,8 @@
 	Running int
 	Slots   int
 	Queued  int
+	// TimePercent is how long work takes on the target's machine now, in percent of the usual time, or 0 if it is not known.
+	TimePercent int
 }
 
 // Busy returns the number of running and queued requests.
