Divide affinity keys so that few move when targets are added or removed

Change: entry/spread orders targets by several positions of a key and a fixed number of points per slot. services.affinity_probes turns it on; without it the order is that of before. Ruled out: weighted rendezvous hashing (compares all targets), a bucket table, a hierarchy of groups, 16 positions.

--- a/core/config/check.go
+++ b/core/config/check.go
@@ -13,14 +13,15 @@
 
 // Upper limits of numbers outside policies.
 const (
-	maxBlockParts    = 4096
-	maxConnections   = 65_535
-	maxMbitPerSecond = 10_000_000
-	maxOneWayMs      = 60_000
-	maxRequests      = 10_000_000
-	maxRouteAttempts = 16
-	maxSlots         = 65_535
-	maxWeight        = 1_000_000
+	maxAffinityProbes = 16
+	maxBlockParts     = 4096
+	maxConnections    = 65_535
+	maxMbitPerSecond  = 10_000_000
+	maxOneWayMs       = 60_000
+	maxRequests       = 10_000_000
+	maxRouteAttempts  = 16
+	maxSlots          = 65_535
+	maxWeight         = 1_000_000
 )
 
 var (
@@ -235,6 +236,7 @@
 		service := c.settings.Services[name]
 		c.name(path, name)
 		c.policy(path+".policy", service.Policy)
+		c.inRange(path+".affinity_probes", int64(service.AffinityProbes), 0, maxAffinityProbes)
 		c.inRange(path+".connections", int64(service.Connections), 0, maxConnections)
 		if service.ColdPerSecond < 0 || service.ColdPerSecond > maxRequests {
 			c.add(path+".cold_per_second", "%g is not between 0 and %d", service.ColdPerSecond, maxRequests)
--- a/core/settings.go
+++ b/core/settings.go
@@ -36,6 +36,9 @@
 
 // ServiceSettings holds the targets of a service, the Host names that select it and its overrides.
 type ServiceSettings struct {
+	// AffinityProbes is the number of positions of an affinity key in the order of the targets, up to 16. With several, the keys of
+	// a target are in proportion to its slots, and few keys move when targets are added or removed. With 0 or 1 a key has one.
+	AffinityProbes int `json:"affinity_probes,omitempty" msgpack:"affinity_probes"`
 	// ColdPerSecond is the permitted rate of requests to a cold target from all hosts combined, per second.
 	ColdPerSecond float64 `json:"cold_per_second,omitempty" msgpack:"cold_per_second"`
 	// Connections is the number of connections that a registered target accepts from all hosts combined.
--- a/entry/place/choice.go
+++ b/entry/place/choice.go
@@ -126,7 +126,7 @@
 func (c comparison) among(parts ...*regionTargets) selection {
 	if c.key != 0 {
 		for _, part := range parts {
-			c.addPlaces(&c.places, c.service.ringOf(part), c.request, c.key, c.now)
+			c.addPlaces(&c.places, c.service, part, c.request, c.key, c.now)
 		}
 		c.home = c.findHome()
 	}
--- a/entry/place/place_test.go
+++ b/entry/place/place_test.go
@@ -16,16 +16,17 @@
 
 // fixture is the registry, the settings and the clock of a placer on host h in zone z1 of region r1.
 type fixture struct {
-	coldPerSecond float64
-	drainedZones  map[string]bool
-	hosts         []string
-	targets       []core.Target
-	timer         *timer.Manual
-	version       int64
+	affinityProbes int
+	coldPerSecond  float64
+	drainedZones   map[string]bool
+	hosts          []string
+	targets        []core.Target
+	timer          *timer.Manual
+	version        int64
 }
 
 func (f *fixture) Current() *core.Snapshot {
-	service := core.ServiceSettings{ColdPerSecond: f.coldPerSecond, Connections: 100}
+	service := core.ServiceSettings{AffinityProbes: f.affinityProbes, ColdPerSecond: f.coldPerSecond, Connections: 100}
 	return &core.Snapshot{Settings: core.Settings{Services: map[string]core.ServiceSettings{"s": service}}}
 }
 
@@ -448,47 +449,76 @@
 // keys is not in proportion to their slots.
 func TestRingMovesFewKeys(t *testing.T) {
 	const keys = 20000
-	ringOf := func(count int) ring {
-		s := service{}
-		for i := range count {
-			entry := readyTarget(fmt.Sprint("t", i), "r1", "z1")
-			entry.Slots = 2 + 2*(i%2)
-			added := &target{}
-			added.apply(entry)
-			s.add(added, "r1")
-		}
-		return s.ringOf(&s.local)
+	for name, probes := range map[string]int{"one position": 1, "eight positions": 8} {
+		t.Run(name, func(t *testing.T) {
+			ownerOf := func(count int) func(key uint64) string {
+				s := service{probes: probes}
+				for i := range count {
+					entry := readyTarget(fmt.Sprint("t", i), "r1", "z1")
+					entry.Slots = 2 + 2*(i%2)
+					added := &target{}
+					added.apply(entry)
+					s.add(added, "r1")
+				}
+				return func(key uint64) string {
+					walk := s.ringOf(&s.local).Walk(key)
+					member, _ := walk.Next()
+					return s.local.targets[member].ID
+				}
+			}
+			before, after := ownerOf(12), ownerOf(13)
+			counts, moved := map[string]int{}, 0
+			for i := range uint64(keys) {
+				key := mix(i)
+				counts[before(key)]++
+				if before(key) != after(key) {
+					moved++
+					assert.Equal(t, after(key), "t12")
+				}
+			}
+			assert.Assert(t, moved > 0 && moved < keys*2/13, "%d keys moved to one target more", moved)
+			for id, n := range counts {
+				share := keys * 2 / 36
+				if id[len(id)-1]%2 == 1 {
+					share *= 2
+				}
+				assert.Assert(t, n > share*7/10 && n < share*13/10, "%s has %d keys instead of %d", id, n, share)
+			}
+		})
 	}
-	owner := func(r ring, key uint64) string { return r[r.index(key)%len(r)].target.ID }
-	before, after := ringOf(12), ringOf(13)
-	counts, moved := map[string]int{}, 0
-	for i := range uint64(keys) {
-		key := mix(i)
-		counts[owner(before, key)]++
-		if owner(before, key) != owner(after, key) {
-			moved++
-			assert.Equal(t, owner(after, key), "t12")
-		}
+}
+
+// Guards against rings that refer to targets of an earlier list whose order was another one.
+func TestRingSurvivesNewOrder(t *testing.T) {
+	f, p := newFixture(readyTarget("t1", "r1", "z1"), readyTarget("t2", "r1", "z1"), readyTarget("t3", "r1", "z1"))
+	homes := map[string]string{}
+	for i := range 64 {
+		r := f.request(time.Hour)
+		r.AffinityKey = fmt.Sprint(i)
+		p.updateTargets()
+		homes[r.AffinityKey] = p.choose(&r, f.timer.Now()).best.target.ID
 	}
-	assert.Assert(t, moved > 0 && moved < keys*2/13, "%d keys moved to one target more", moved)
-	for id, n := range counts {
-		share := keys * 2 / 36
-		if id[len(id)-1]%2 == 1 {
-			share *= 2
-		}
-		assert.Assert(t, n > share*7/10 && n < share*13/10, "%s has %d keys instead of %d", id, n, share)
+	slices.Reverse(f.targets)
+	f.version++
+	for key, home := range homes {
+		r := f.request(time.Hour)
+		r.AffinityKey = key
+		p.updateTargets()
+		assert.Equal(t, p.choose(&r, f.timer.Now()).best.target.ID, home)
 	}
 }
 
 // BenchmarkChoose measures the choice of a target for a request with an affinity key.
 func BenchmarkChoose(b *testing.B) {
-	for _, count := range []int{14, 40, 580, 5000} {
-		b.Run(fmt.Sprint(count, " targets"), func(b *testing.B) {
+	type size struct{ probes, targets int }
+	for _, n := range []size{{1, 14}, {1, 40}, {1, 580}, {1, 5000}, {8, 14}, {8, 40}, {8, 580}, {8, 5000}} {
+		b.Run(fmt.Sprintf("%d targets, %d positions", n.targets, n.probes), func(b *testing.B) {
 			var targets []core.Target
-			for i := range count {
+			for i := range n.targets {
 				targets = append(targets, readyTarget(fmt.Sprint("t", i), fmt.Sprint("r", i%3+1), fmt.Sprint("z", i%6+1)))
 			}
 			f, p := newFixture(targets...)
+			f.affinityProbes = n.probes
 			request := f.request(time.Hour)
 			var keys [64]string
 			for i := range keys {
--- a/entry/place/placer.go
+++ b/entry/place/placer.go
@@ -195,7 +195,7 @@
 		t.apply(entry)
 		p.targets[entry.ID] = t
 		if p.services[entry.Service] == nil {
-			p.services[entry.Service] = &service{}
+			p.services[entry.Service] = &service{probes: p.serviceSettings(t).AffinityProbes}
 		}
 		p.services[entry.Service].add(t, p.Region)
 	}
--- a/entry/place/places.go
+++ b/entry/place/places.go
@@ -46,19 +46,22 @@
 	l.targets[i], l.offsets[i] = t, offset
 }
 
-// addPlaces adds the first usable targets of a ring.
-func (p *Placer) addPlaces(l *places, r ring, request *core.AdmitRequest, key uint64, now core.Instant) {
+// addPlaces adds the first usable targets of a part of a service.
+func (p *Placer) addPlaces(l *places, s *service, part *regionTargets, request *core.AdmitRequest, key uint64, now core.Instant) {
 	var visited [maxVisited]*target
-	count, found, first := 0, 0, r.index(key)
-	for step := range min(maxSteps, len(r)) {
-		next := r[(first+step)%len(r)]
-		if slices.Contains(visited[:count], next.target) {
+	r := s.ringOf(part)
+	walk := r.Walk(key)
+	count, found := 0, 0
+	for range min(maxSteps, r.Len()) {
+		member, offset := walk.Next()
+		next := part.targets[member]
+		if slices.Contains(visited[:count], next) {
 			continue
 		}
-		visited[count] = next.target
+		visited[count] = next
 		count++
-		if p.usable(next.target, request, now) {
-			l.insert(next.target, next.position-key)
+		if p.usable(next, request, now) {
+			l.insert(next, offset)
 			found++
 		}
 		if found == maxPlaces || count == maxVisited {
--- a/entry/place/ring.go
+++ b/entry/place/ring.go
@@ -1,43 +1,30 @@
 package place
 
-import (
-	"cmp"
-	"slices"
-)
-
-// ringPoints is the number of points that the targets of a service have together, unless it has more slots.
-const ringPoints = 2048
-
-// point is one of the positions of a target on a ring.
-type point struct {
-	position uint64
-	target   *target
-}
+import "ebonyrouter.dev/entry/spread"
 
-// ring orders targets by consistent hashing: the targets for a key are those that follow its position. A target that joins
-// or leaves changes the order for few keys.
-type ring []point
+const (
+	// ringPoints is the number of points that the targets of a service have together if a key has one position, unless the
+	// service has more slots.
+	ringPoints = 2048
+	// pointsPerSlot is the number of points for each slot if a key has several positions. It does not depend on the number of
+	// targets, so that no other keys move when targets are added or removed.
+	pointsPerSlot = 4
+)
 
 // newRing returns the ring of a part of the targets of a service that has the given number of slots. The points of a target
 // are in proportion to its slots and do not depend on the part, so that rings of different parts can be merged.
-func newRing(targets []*target, serviceSlots int) ring {
-	// A power of two changes rarely; any other number of points would move keys whenever a target joins or leaves.
-	perSlot := 1
-	for perSlot*serviceSlots < ringPoints {
-		perSlot *= 2
+func newRing(targets []*target, serviceSlots, probes int) *spread.Ring {
+	members := make([]spread.Member, len(targets))
+	for i, t := range targets {
+		members[i] = spread.Member{Hash: t.hash, Weight: t.Slots}
 	}
-	var r ring
-	for _, t := range targets {
-		for i := range uint64(perSlot * max(1, t.Slots)) { //nolint:gosec // The product is positive.
-			r = append(r, point{position: mix(t.hash + i*fnvPrime), target: t})
+	perSlot := pointsPerSlot
+	if probes <= 1 {
+		// A power of two changes rarely; any other number of points would move keys whenever a target joins or leaves.
+		perSlot = 1
+		for perSlot*serviceSlots < ringPoints {
+			perSlot *= 2
 		}
 	}
-	slices.SortFunc(r, func(a, b point) int { return cmp.Compare(a.position, b.position) })
-	return r
-}
-
-// index returns the index of the first point at or after the position of a key; it is len(r) beyond the last point.
-func (r ring) index(key uint64) int {
-	i, _ := slices.BinarySearchFunc(r, key, func(p point, key uint64) int { return cmp.Compare(p.position, key) })
-	return i
+	return spread.New(members, perSlot, probes)
 }
--- a/entry/place/service.go
+++ b/entry/place/service.go
@@ -1,6 +1,9 @@
 package place
 
-import "ebonyrouter.dev/core"
+import (
+	"ebonyrouter.dev/core"
+	"ebonyrouter.dev/entry/spread"
+)
 
 // service holds the targets of one service and what is known about all of them.
 type service struct {
@@ -9,14 +12,16 @@
 	// fingerprint identifies the targets, their regions and their slots.
 	fingerprint uint64
 	recall      *recall
-	slots       int
+	// probes is the number of positions of an affinity key on a ring.
+	probes int
+	slots  int
 }
 
 // regionTargets are the targets of the local region, or of all remote regions.
 type regionTargets struct {
 	targets []*target
 	// ring is nil until it is needed.
-	ring ring
+	ring *spread.Ring
 }
 
 // add adds a target.
@@ -38,15 +43,16 @@
 		return
 	}
 	s.recall = previous.recall
-	if s.fingerprint == previous.fingerprint {
-		s.local.ring, s.remote.ring = previous.local.ring, previous.remote.ring
+	if s.fingerprint == previous.fingerprint && s.probes == previous.probes {
+		// The rings refer to the targets by their index.
+		s.local, s.remote = previous.local, previous.remote
 	}
 }
 
 // ringOf returns the ring of a part of the service's targets.
-func (s *service) ringOf(part *regionTargets) ring {
-	if part.ring == nil && len(part.targets) > 0 {
-		part.ring = newRing(part.targets, s.slots)
+func (s *service) ringOf(part *regionTargets) *spread.Ring {
+	if part.ring == nil {
+		part.ring = newRing(part.targets, s.slots, s.probes)
 	}
 	return part.ring
 }
