Check the API key of a request, its proof and its quota in the proxy

Cause: two deployments give their customers API keys. Requests without a known key must not run, and keys must not reach targets. Change: entry/access finds the customer of a key by its digest. The proxy answers 401 without a known key, asks Freshness and Quotas at arrival and Freshness before each attempt, passes the customer's name, rank and home regions to the placement, removes Authorization and sets the customer's name itself. All of it is off where the settings require no keys.

--- a/core/customer.go
+++ b/core/customer.go
@@ -65,9 +65,18 @@
 	return p
 }
 
-// DigestKey returns the digest of an API key.
+// maxStackKeyBytes is the length up to which a key is digested without an allocation.
+const maxStackKeyBytes = 256
+
+// DigestKey returns the digest of an API key. A key of up to maxStackKeyBytes is digested without an allocation, since that happens
+// for each request.
 func DigestKey(key string) KeyDigest {
-	return sha256.Sum256([]byte(key))
+	if len(key) > maxStackKeyBytes {
+		return sha256.Sum256([]byte(key))
+	}
+	var buffer [maxStackKeyBytes]byte
+	n := copy(buffer[:], key)
+	return sha256.Sum256(buffer[:n])
 }
 
 // ParseKeyDigest parses the hexadecimal form of a digest. It returns a NotValid error that does not contain the text.
--- a/core/dialect.go
+++ b/core/dialect.go
@@ -11,7 +11,8 @@
 	ReadResponse(status int, header http.Header) UpstreamResponse
 	// ReadRequest interprets the headers of a caller's request; it must not modify them.
 	ReadRequest(header http.Header) (CallerRequest, error)
-	// Prepare adds the headers of an attempt to header, which is forwarded to the target.
+	// Prepare adds the headers of an attempt to header, which is forwarded to the target. If the settings require keys, it also removes
+	// the caller's key and replaces the customer's name that the caller sent.
 	Prepare(header http.Header, attempt UpstreamAttempt)
 	// SetRetryAfter sets in header the time after which the caller may retry a request that was not run.
 	SetRetryAfter(header http.Header, retryAfter time.Duration)
@@ -26,6 +27,10 @@
 
 // UpstreamAttempt describes one attempt for the headers that are sent to a target.
 type UpstreamAttempt struct {
+	// Customer is the name of the request's customer, or empty if it has none.
+	Customer string
+	// KeysRequired means that the settings require keys.
+	KeysRequired bool
 	// Remaining is the time until the deadline.
 	Remaining time.Duration
 	TargetID  string
--- a/core/event/request.go
+++ b/core/event/request.go
@@ -15,10 +15,13 @@
 	RequestPlaced      = Info{610, zapcore.InfoLevel, "request placed", "A target was chosen; the fields are the values behind the choice: expected time, requests in progress, age of the target's load report, version of the target list."}
 	RequestRejected    = Info{611, zapcore.InfoLevel, "request rejected before any target", "The request was not run; the fields state what was expected and after which time the caller may retry."}
 	RequestCompleted   = Info{612, zapcore.InfoLevel, "request completed", "A request has ended; the fields are its result code, whether it ran, its attempts and the version of the settings that determined its route."}
+	RequestKeyRefused  = Info{621, zapcore.InfoLevel, "request refused by its API key", "The route requires a key and the request has none that is known, or its customer may not run where the route does; nothing was run. The key is not logged."}
+	RequestUnproven    = Info{622, zapcore.InfoLevel, "request refused without proof of its API key", "This host could not prove that its settings are recent, or the key was withdrawn before an attempt was sent; this attempt was not run."}
+	RequestOverQuota   = Info{623, zapcore.InfoLevel, "request refused by the quota of its customer", "The customer has used up its quota or the share of it that this host has; nothing was run."}
 	LinesDropped       = Info{613, zapcore.WarnLevel, "log lines dropped", "More lines were logged than the limit permits or than the reader of the log consumed; the field counts the dropped lines since the start."}
 )
 
 var requestTable = []Info{
 	RequestTruncated, RequestTimedOut, RequestRefused, RequestLeaseEnded, RequestNotRecorded, RequestBroken, HandlerPanicked, CallerBroken,
-	RequestPlaced, RequestRejected, RequestCompleted, LinesDropped,
+	RequestPlaced, RequestRejected, RequestCompleted, LinesDropped, RequestKeyRefused, RequestUnproven, RequestOverQuota,
 }
--- a/entry/proxy/attempt.go
+++ b/entry/proxy/attempt.go
@@ -78,6 +78,9 @@
 		req.addAvoidTarget(target.Target)
 		return p.connectFailure(ctx, req, target.Address, err, grant.Release)
 	}
+	if fail := p.checkAttempt(req); fail != nil {
+		return withholdAttempt(c, fail, grant.Release)
+	}
 	now := p.Timer.Now()
 	c.begin(req.deadline, req.attemptDeadline(now), grant.ValidUntil)
 	c.markTarget()
@@ -170,12 +173,13 @@
 		req.addTriedHost(peer.Host)
 		return p.connectFailure(ctx, req, peer.RelayAddress, err, release)
 	}
+	if fail := p.checkAttempt(req); fail != nil {
+		return withholdAttempt(c, fail, release)
+	}
 	// Count the request against the cap only after the waits for a connection and for bandwidth. Requests counted
 	// earlier could be sent together after the wait and exceed the cap.
 	if err := admitShift(grant); err != nil {
-		c.pool.put(c)
-		release(core.Outcome{})
-		return &attemptResult{failure: rejectionFailure(err), final: true, ran: core.RanNo, bodyUnread: true}
+		return withholdAttempt(c, rejectionFailure(err), release)
 	}
 	// The peer may queue the request for a slot, so half of the remaining time is added to the attempt timeout.
 	now := p.Timer.Now()
@@ -273,6 +277,7 @@
 		Trailer:       in.Trailer,
 		URL:           &url.URL{Path: in.URL.Path, RawPath: in.URL.RawPath, RawQuery: in.URL.RawQuery, ForceQuery: in.URL.ForceQuery},
 	}
+	r.setIdentity(out)
 	r.setBody(out)
 	return out
 }
@@ -305,7 +310,7 @@
 	return &failure{code: code, ran: core.RanUnknown, status: status, text: text}
 }
 
-// rejectionFailure converts an error of the router, the admitter or the shifter to a failure.
+// rejectionFailure converts a rejection of the router, the admitter, the shifter, the key check or the quota to a failure.
 func rejectionFailure(err error) *failure {
 	var rejected *core.RejectedError
 	if !errors.As(err, &rejected) {
@@ -315,6 +320,13 @@
 	if rejected.RetryAfter > 0 {
 		fail.retryAfter = rejected.RetryAfter
 	}
+	switch rejected.Code {
+	case codes.UnknownKey:
+		fail.status, fail.retryAfter = http.StatusUnauthorized, 0
+	case codes.QuotaExceeded:
+		fail.status = http.StatusTooManyRequests
+	default:
+	}
 	return fail
 }
 
@@ -322,6 +334,13 @@
 	return &attemptResult{failure: notRun(codes.TooManyHops, "request was relayed 3 times"), final: true, ran: core.RanNo, bodyUnread: true}
 }
 
+// withholdAttempt returns the connection and the grant of an attempt of which nothing was sent, and the result of the attempt.
+func withholdAttempt(c *conn, fail *failure, release func(core.Outcome)) *attemptResult {
+	c.pool.putUnused(c)
+	release(core.Outcome{})
+	return &attemptResult{failure: fail, final: true, ran: core.RanNo, bodyUnread: true}
+}
+
 // admitShift counts a request to another region against the cap of its shift. It accepts every request without a grant.
 func admitShift(grant core.ShiftGrant) error {
 	if grant == nil {
--- a/entry/proxy/config.go
+++ b/entry/proxy/config.go
@@ -8,7 +8,8 @@
 	"ebonyrouter.dev/core"
 )
 
-// Config holds the dependencies and options of a Proxy. Deduper, Dialect, Feedback, Load, Log and Observer are optional.
+// Config holds the dependencies and options of a Proxy. Deduper, Dialect, Feedback, Freshness, Load, Log, Observer and Quotas are
+// optional.
 type Config struct {
 	Admitter core.Admitter
 	Budget   core.RetryBudget
@@ -17,6 +18,8 @@
 	Dialect core.Dialect
 	// Feedback receives the loads and rejections found in the responses of peers.
 	Feedback core.RouteFeedback
+	// Freshness is asked for a proof of recent settings before a request with an API key is accepted and before each of its attempts.
+	Freshness core.FreshnessChecker
 	// Load supplies the service loads that are sent to peers in responses.
 	Load core.LoadSource
 	Log  *zap.Logger
@@ -26,7 +29,9 @@
 	// PrefetchBytes is the part of a response that is read before its head is sent to the caller; 0 streams responses
 	// immediately.
 	PrefetchBytes int64
-	Router        core.Router
+	// Quotas counts each request with an API key against the quota of its customer.
+	Quotas core.QuotaLimiter
+	Router core.Router
 	// Self is the registration of this process; only Host, Region and Zone are used.
 	Self     core.Host
 	Settings core.SettingsSource
--- a/entry/proxy/dialect.go
+++ b/entry/proxy/dialect.go
@@ -100,6 +100,10 @@
 	for _, name := range []string{core.HeaderClass, core.HeaderDeadline, core.HeaderRequestID, core.HeaderService} {
 		out.Header.Del(name)
 	}
-	remaining := req.deadline.Sub(p.Timer.Now())
-	p.Dialect.Prepare(out.Header, core.UpstreamAttempt{Remaining: remaining, TargetID: target.Target})
+	attempt := core.UpstreamAttempt{Remaining: req.deadline.Sub(p.Timer.Now()), TargetID: target.Target}
+	if req.access.KeysRequired {
+		out.Header.Del(core.HeaderTenant)
+		attempt.Customer, attempt.KeysRequired = req.tenant, true
+	}
+	p.Dialect.Prepare(out.Header, attempt)
 }
--- a/entry/proxy/parse.go
+++ b/entry/proxy/parse.go
@@ -101,14 +101,16 @@
 
 func parseLabels(req *request) *failure {
 	req.class = req.incoming.Header.Get(core.HeaderClass)
-	req.tenant = req.incoming.Header.Get(core.HeaderTenant)
+	if !req.access.KeysRequired || req.relayed() {
+		req.tenant = req.incoming.Header.Get(core.HeaderTenant)
+	}
 	if req.class == "" {
 		req.class = classInteractive
 	}
 	if req.class != classInteractive && req.class != classBatch {
 		return callerError(http.StatusBadRequest, codes.BadRequest, "header Ebony-Class is neither interactive nor batch")
 	}
-	if len(req.tenant) > maxTenantBytes {
+	if !req.access.KeysRequired && len(req.tenant) > maxTenantBytes {
 		return callerError(http.StatusBadRequest, codes.BadRequest, "header Ebony-Tenant is longer than 64 bytes")
 	}
 	if req.incoming.Method == http.MethodConnect {
@@ -147,7 +149,8 @@
 	return nil
 }
 
-// parseService looks up the service and its policy in the current settings.
+// parseService looks up the service and its policy in the current settings, and the customer between them, so that a request without
+// a known key learns nothing about services.
 func (p *Proxy) parseService(req *request) *failure {
 	snapshot := p.Settings.Current()
 	if snapshot == nil {
@@ -158,6 +161,9 @@
 	if fail != nil {
 		return fail
 	}
+	if fail := p.authorize(req, snapshot); fail != nil {
+		return fail
+	}
 	policy, found := snapshot.Policies[name][p.Self.Zone]
 	if !found {
 		return callerError(http.StatusNotFound, codes.UnknownService, "no service named "+strconv.Quote(name)+" for host "+strconv.Quote(req.incoming.Host))
--- a/entry/proxy/pool.go
+++ b/entry/proxy/pool.go
@@ -110,8 +110,13 @@
 // put returns a connection to the pool after a complete exchange, or closes it if it is suspect or exceeds the
 // connection limit.
 func (p *pool) put(c *conn) {
-	c.idleSince = p.timer.Now()
 	c.reused = true
+	p.putUnused(c)
+}
+
+// putUnused returns a connection on which nothing was sent since it was taken. Otherwise it acts like put.
+func (p *pool) putUnused(c *conn) {
+	c.idleSince = p.timer.Now()
 	p.mutex.Lock()
 	defer p.mutex.Unlock()
 	if c.openedAt.Before(p.suspectBefore) || p.openCount > p.limit {
--- a/entry/proxy/request.go
+++ b/entry/proxy/request.go
@@ -8,10 +8,12 @@
 
 	"ebonyrouter.dev/core"
 	"ebonyrouter.dev/core/codes"
+	"ebonyrouter.dev/entry/access"
 )
 
 // request is the state of a caller's or relayed request while it is served.
 type request struct {
+	access      access.Access
 	affinityKey string
 	// attempts is the number of attempts made so far.
 	attempts     int
@@ -50,7 +52,8 @@
 	startedAt        core.Instant
 	// streamed means that the body is too large to buffer, so the request can be sent only once.
 	streamed bool
-	tenant   string
+	// tenant is the name of the customer if the settings require keys, and otherwise the one that the caller states.
+	tenant string
 	// reportedRan is the Ebony-Ran value sent to the caller.
 	reportedRan core.Ran
 	toRegion    string
@@ -148,7 +151,9 @@
 			Class:         r.class,
 			Deadline:      r.deadline,
 			FromRegion:    r.fromRegion,
+			HomeRegions:   r.access.HomeRegions,
 			NonIdempotent: !r.idempotent(),
+			Priority:      r.access.Priority,
 			RequestID:     r.id,
 			Service:       r.service,
 			Tenant:        r.tenant,
@@ -160,8 +165,6 @@
 		if r.route.LatencyObjectiveMs > 0 {
 			next.LatencyObjective = r.startedAt.Add(time.Duration(r.route.LatencyObjectiveMs) * time.Millisecond)
 		}
-		next.HomeRegions = r.route.HomeRegions
-		next.Priority = r.route.Priority
 		next.Route = r.route.Name
 		if !r.route.Sticky {
 			next.AffinityKey = ""
--- a/entry/proxy/serve.go
+++ b/entry/proxy/serve.go
@@ -39,7 +39,7 @@
 // writeError sends an error response to the caller.
 func (p *Proxy) writeError(req *request, fail *failure) {
 	ran := req.reportableRan(fail.ran)
-	if p.Dialect != nil && ran != core.RanNo && isRejection(fail.status) {
+	if p.Dialect != nil && ran != core.RanNo && (isRejection(fail.status) || fail.status == http.StatusUnauthorized) {
 		// Callers that use a dialect interpret these statuses as proof that the request was not run.
 		fail = mayHaveRun(fail.code, http.StatusBadGateway, fail.text)
 	}
@@ -51,6 +51,10 @@
 	p.setResponseHeaders(req, header, fail.code, ran)
 	header.Set("Content-Type", "application/json")
 	header.Set("Content-Length", strconv.Itoa(len(body)))
+	if fail.status == http.StatusUnauthorized {
+		// RFC 9110, section 11.6.1, requires the challenge.
+		header.Set("WWW-Authenticate", "Bearer")
+	}
 	switch {
 	case fail.retryAfter > 0 && p.Dialect != nil:
 		p.Dialect.SetRetryAfter(header, fail.retryAfter)
@@ -114,7 +118,11 @@
 			pastObjective = max(0, elapsed-objective)
 		}
 	}
-	event.RequestCompleted.Write(p.Log, zap.String("request_id", req.id), zap.String("route", route), zap.String("service", req.service),
+	customer := zap.Skip()
+	if req.access.Customer != nil {
+		customer = zap.String("customer", req.access.Customer.Name)
+	}
+	event.RequestCompleted.Write(p.Log, zap.String("request_id", req.id), zap.String("route", route), zap.String("service", req.service), customer,
 		zap.Int("code", int(req.code)), zap.String("ran", string(req.reportedRan)), zap.Int("attempts", req.attempts),
 		zap.Int64("settings", req.settingsRevision), zap.Duration("took", elapsed), zap.Duration("past_aim", pastObjective))
 }
@@ -182,6 +190,11 @@
 		p.writeError(req, fail)
 		return
 	}
+	fail = p.admitCustomer(in.Context(), req)
+	if fail != nil {
+		p.writeError(req, fail)
+		return
+	}
 	fail = p.receiveBody(req)
 	if fail != nil {
 		p.writeError(req, fail)
