Decode customers and leave out only the invalid parts of a desired state

Cause: the desired state gets customers, public routes and the kind download. Until now one unknown kind or one invalid route kept a whole version out of force. Differences between settings name list items by their name and show fractions.

--- a/core/config/check.go
+++ b/core/config/check.go
@@ -6,6 +6,7 @@
 	"net/netip"
 	"regexp"
 	"slices"
+	"strconv"
 	"strings"
 
 	"ebonyrouter.dev/core"
@@ -32,6 +33,8 @@
 // checker checks one settings tree and collects its problems. zones maps each availability zone to its region.
 type checker struct {
 	*ProblemsError
+	// omitted lists the problems of the parts that a tolerant check removed from the tree; it is nil if the check is not tolerant.
+	omitted  *[]Problem
 	regions  map[string]bool
 	settings *core.Settings
 	zones    map[string]string
@@ -39,7 +42,13 @@
 
 // check adds the problems of the decoded tree to problems.
 func check(settings *core.Settings, problems *ProblemsError) {
-	c := &checker{ProblemsError: problems, regions: map[string]bool{}, settings: settings, zones: map[string]string{}}
+	checkParts(settings, problems, nil)
+}
+
+// checkParts adds the problems of the tree to problems. If omitted is not nil, it removes invalid services, routes and customers from
+// the tree and adds their problems to omitted instead.
+func checkParts(settings *core.Settings, problems *ProblemsError, omitted *[]Problem) {
+	c := &checker{ProblemsError: problems, omitted: omitted, regions: map[string]bool{}, settings: settings, zones: map[string]string{}}
 	c.name("deployment", settings.Deployment)
 	c.policy("policy", settings.Policy)
 	if len(settings.Regions) == 0 {
@@ -53,6 +62,7 @@
 	}
 	c.services()
 	c.routes()
+	c.customers()
 	links := c.links()
 	c.shifts(links)
 	c.drains()
@@ -104,12 +114,63 @@
 	})
 }
 
+// homeRegions checks home regions and returns the known ones. A list without any known region is a problem also in a tolerant check,
+// because an empty list would permit every region.
+func (c *checker) homeRegions(path string, regions []string) []string {
+	var known []string
+	for n, region := range regions {
+		if c.regions[region] {
+			known = append(known, region)
+			continue
+		}
+		c.omit(fmt.Sprintf("%s[%d]", path, n), "unknown region %q", region)
+	}
+	if len(known) == 0 && len(regions) > 0 {
+		c.add(path, "none of the regions is known")
+	}
+	return known
+}
+
 func (c *checker) inRange(path string, value, low, high int64) {
 	if value < low || value > high {
 		c.add(path, "%d is not between %d and %d", value, low, high)
 	}
 }
 
+// items checks the n items of the list at path and returns the indexes of those that remain: the valid ones in a tolerant check and
+// otherwise all.
+func (c *checker) items(path string, n int, checkItem func(path string, i int)) []int {
+	kept := make([]int, 0, n)
+	for i := range n {
+		mark := len(c.Problems)
+		checkItem(path+"["+strconv.Itoa(i)+"]", i)
+		if !c.dropSince(mark) {
+			kept = append(kept, i)
+		}
+	}
+	return kept
+}
+
+// dropSince reports whether a tolerant check must remove the part to which the problems since mark belong, and moves these problems to
+// the omitted ones.
+func (c *checker) dropSince(mark int) bool {
+	if c.omitted == nil || len(c.Problems) == mark {
+		return false
+	}
+	*c.omitted = append(*c.omitted, c.Problems[mark:]...)
+	c.Problems = c.Problems[:mark]
+	return true
+}
+
+// omit adds a problem with a value that a tolerant check leaves out without the part that contains it.
+func (c *checker) omit(path, format string, args ...any) {
+	if c.omitted == nil {
+		c.add(path, format, args...)
+		return
+	}
+	*c.omitted = append(*c.omitted, Problem{Path: path, Text: fmt.Sprintf(format, args...)})
+}
+
 func (c *checker) links() map[string]bool {
 	links := map[string]bool{}
 	for i, l := range c.settings.Links {
@@ -185,29 +246,39 @@
 }
 
 func (c *checker) routes() {
+	list := c.settings.Routes
 	prefixes := map[string]bool{}
-	for i, r := range c.settings.Routes {
-		path := fmt.Sprintf("routes[%d]", i)
-		if !hostNamePattern.MatchString(r.HostName) {
-			c.add(path+".host_name", "%q is not a lower-case host name", r.HostName)
-		}
-		if !strings.HasPrefix(r.PathPrefix, "/") || !strings.HasSuffix(r.PathPrefix, "/") {
-			c.add(path+".path_prefix", "%q does not begin and end with a slash", r.PathPrefix)
-		}
-		if key := r.HostName + r.PathPrefix; prefixes[key] {
-			c.add(path+".path_prefix", "a route for %q occurs more than once", key)
-		} else {
-			prefixes[key] = true
-		}
-		c.inRange(path+".timeout_ms", r.TimeoutMs, 1, maxMs)
-		c.inRange(path+".aim_ms", r.LatencyObjectiveMs, 0, maxMs)
-		c.inRange(path+".max_attempts", r.MaxAttempts, 1, maxRouteAttempts)
-		c.backends(path+".backends", r.Backends)
-		for n, region := range r.HomeRegions {
-			if !c.regions[region] {
-				c.add(fmt.Sprintf("%s.home_regions[%d]", path, n), "unknown region %q", region)
-			}
-		}
+	kept := c.items("routes", len(list), func(path string, i int) { c.route(path, &list[i], prefixes) })
+	if len(kept) == len(list) {
+		return
+	}
+	valid := make([]core.RouteSettings, 0, len(kept))
+	for _, i := range kept {
+		valid = append(valid, list[i])
+	}
+	c.settings.Routes = valid
+}
+
+// route checks one route. prefixes holds the Host names and path prefixes of the valid routes before it.
+func (c *checker) route(path string, r *core.RouteSettings, prefixes map[string]bool) {
+	mark := len(c.Problems)
+	if !hostNamePattern.MatchString(r.HostName) {
+		c.add(path+".host_name", "%q is not a lower-case host name", r.HostName)
+	}
+	if !strings.HasPrefix(r.PathPrefix, "/") || !strings.HasSuffix(r.PathPrefix, "/") {
+		c.add(path+".path_prefix", "%q does not begin and end with a slash", r.PathPrefix)
+	}
+	key := r.HostName + r.PathPrefix
+	if prefixes[key] {
+		c.add(path+".path_prefix", "a route for %q occurs more than once", key)
+	}
+	c.inRange(path+".timeout_ms", r.TimeoutMs, 1, maxMs)
+	c.inRange(path+".aim_ms", r.LatencyObjectiveMs, 0, maxMs)
+	c.inRange(path+".max_attempts", r.MaxAttempts, 1, maxRouteAttempts)
+	c.backends(path+".backends", r.Backends)
+	r.HomeRegions = c.homeRegions(path+".home_regions", r.HomeRegions)
+	if len(c.Problems) == mark {
+		prefixes[key] = true
 	}
 }
 
@@ -231,7 +302,7 @@
 	addresses := map[string]string{}
 	hostNames := map[string]string{}
 	for _, name := range slices.Sorted(maps.Keys(c.settings.Services)) {
-		path := "services." + name
+		path, mark := "services."+name, len(c.Problems)
 		service := c.settings.Services[name]
 		c.name(path, name)
 		c.policy(path+".policy", service.Policy)
@@ -252,6 +323,9 @@
 		for _, target := range slices.Sorted(maps.Keys(service.Targets)) {
 			c.target(path+".targets."+target, target, service.Targets[target], addresses)
 		}
+		if c.dropSince(mark) {
+			delete(c.settings.Services, name)
+		}
 	}
 }
 
--- a/core/config/compile.go
+++ b/core/config/compile.go
@@ -24,15 +24,18 @@
 	return newSnapshot(update.Head, settings), nil
 }
 
-// Build checks a settings tree that was not decoded from JSON and resolves the policies. Its error is a *ProblemsError.
-func Build(head core.SettingsHead, settings core.Settings) (*core.Snapshot, error) {
+// BuildValid checks a settings tree that was not decoded from JSON and resolves the policies. It leaves out invalid services, routes
+// and customers, unknown home regions, and keys that are malformed or belong to several customers, and returns their problems. Its
+// error is a *ProblemsError with the problems of other parts. The maps and lists of the tree may be modified.
+func BuildValid(head core.SettingsHead, settings core.Settings) (*core.Snapshot, []Problem, error) {
 	var problems ProblemsError
+	omitted := []Problem{}
 	fill(&settings)
-	check(&settings, &problems)
+	checkParts(&settings, &problems, &omitted)
 	if err := problems.result(); err != nil {
-		return nil, errors.Annotatef(err, "revision %d", head.Revision)
+		return nil, omitted, errors.Annotatef(err, "revision %d", head.Revision)
 	}
-	return newSnapshot(head, settings), nil
+	return newSnapshot(head, settings), omitted, nil
 }
 
 // newSnapshot returns the snapshot of a checked settings tree.
--- a/core/config/decode.go
+++ b/core/config/decode.go
@@ -58,7 +58,7 @@
 	return content, nil
 }
 
-// fill replaces absent maps by empty ones, because an absent map is encoded as null, which Decode rejects.
+// fill replaces absent maps and lists by empty ones, because an absent one is encoded as null, which Decode rejects.
 func fill(settings *core.Settings) {
 	if settings.Services == nil {
 		settings.Services = map[string]core.ServiceSettings{}
@@ -69,4 +69,9 @@
 			settings.Services[name] = service
 		}
 	}
+	for i := range settings.Customers {
+		if settings.Customers[i].KeyDigests == nil {
+			settings.Customers[i].KeyDigests = []string{}
+		}
+	}
 }
--- a/core/config/diff.go
+++ b/core/config/diff.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"maps"
 	"slices"
+	"strconv"
 	"strings"
 
 	"github.com/juju/errors"
@@ -13,7 +14,7 @@
 )
 
 // Diff returns the values that differ between two trees, ordered by path. Items of lists are identified in paths by their
-// content (service, from and to, or the value itself) instead of their position.
+// content (name, service, from and to, or the value itself) instead of their position.
 func Diff(old, changed core.Settings) ([]Difference, error) {
 	before, err := flatten(old)
 	if err != nil {
@@ -68,7 +69,7 @@
 			flattenValue(leaves, path+"["+identity(item)+"]", item)
 		}
 	case float64:
-		leaves[path] = fmt.Sprintf("%.0f", v)
+		leaves[path] = strconv.FormatFloat(v, 'f', -1, 64)
 	default:
 		leaves[path] = fmt.Sprintf("%q", fmt.Sprint(v))
 	}
@@ -81,7 +82,7 @@
 		return fmt.Sprint(item)
 	}
 	var parts []string
-	for _, name := range []string{"service", "from", "to"} {
+	for _, name := range []string{"name", "service", "from", "to"} {
 		if part, found := members[name]; found {
 			parts = append(parts, fmt.Sprint(part))
 		}
