--- a/core/config/decode.go
+++ b/core/config/decode.go
@@ -47,6 +47,7 @@
 
 // Encode returns the canonical JSON of a settings tree, or a *ProblemsError if the tree is invalid.
 func Encode(settings core.Settings) ([]byte, error) {
+	fill(&settings)
 	content, err := json.MarshalIndent(settings, "", "  ")
 	if err != nil {
 		return nil, errors.Annotate(err, "encode settings")
--- a/core/route.go
+++ b/core/route.go
@@ -71,5 +71,8 @@
 	RecordAttempt(service string)
 }
 
+// HeaderHomeRegions is set on relayed requests that may run in some regions only and lists these, separated by commas.
+const HeaderHomeRegions = "Ebony-Home-Regions"
+
 // HeaderToRegion is set on requests relayed to a gateway and names the destination region.
 const HeaderToRegion = "Ebony-To-Region"
--- a/entry/access/access.go
+++ b/entry/access/access.go
@@ -54,10 +54,12 @@
 	return a, a.apply(customer)
 }
 
-// OfRelayed returns the access of a request whose key another entry process has checked and whose customer it names. A customer that
-// these settings do not have adds no limits, because the other process has newer or older settings. The error is that of Of.
-func OfRelayed(snapshot *core.Snapshot, route *core.RouteSettings, customer string) (Access, error) {
-	a := ofRoute(snapshot, route)
+// OfRelayed returns the access of a request whose key another entry process has checked and whose customer and home regions it names.
+// A customer that these settings do not have adds no limits, because the other process has newer or older settings. The error is that
+// of Of.
+func OfRelayed(snapshot *core.Snapshot, homeRegions []string, customer string) (Access, error) {
+	a := ofRoute(snapshot, nil)
+	a.HomeRegions = homeRegions
 	if !a.KeysRequired {
 		return a, nil
 	}
--- a/entry/access/access_test.go
+++ b/entry/access/access_test.go
@@ -135,7 +135,9 @@
 func TestRelayed(t *testing.T) {
 	rank := int64(2)
 	snapshot := snapshotOf(customer("a", "k1", &rank, "r2"))
-	got, err := access.OfRelayed(snapshot, nil, "a")
+	_, err := access.OfRelayed(snapshot, []string{"r1"}, "a")
+	assert.Equal(t, codeOf(err), codes.NoPermittedTarget)
+	got, err := access.OfRelayed(snapshot, []string{"r1", "r2"}, "a")
 	assert.NilError(t, err)
 	assert.Equal(t, got.Priority, rank)
 	assert.DeepEqual(t, got.HomeRegions, []string{"r2"})
--- a/entry/proxy/access.go
+++ b/entry/proxy/access.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net/http"
+	"strings"
 
 	"github.com/juju/errors"
 	"go.uber.org/zap"
@@ -17,12 +18,16 @@
 const headerAuthorization = "Authorization"
 
 // authorize finds the customer of a request by its key and sets the request's rank and home regions. A relayed request has the
-// customer that the process that received it has found.
+// customer and the home regions that the process that received it has found.
 func (p *Proxy) authorize(req *request, snapshot *core.Snapshot) *failure {
 	header := req.incoming.Header
 	var err error
 	if req.relayed() {
-		req.access, err = access.OfRelayed(snapshot, req.route, header.Get(core.HeaderTenant))
+		var homes []string
+		if list := header.Get(core.HeaderHomeRegions); list != "" {
+			homes = strings.Split(list, ",")
+		}
+		req.access, err = access.OfRelayed(snapshot, homes, header.Get(core.HeaderTenant))
 	} else {
 		req.access, err = access.Of(snapshot, req.route, header)
 	}
--- a/entry/proxy/access_test.go
+++ b/entry/proxy/access_test.go
@@ -278,7 +278,9 @@
 	received := <-up.received
 	assert.Equal(t, received.Header.Get("Authorization"), "")
 	assert.Equal(t, received.Header.Get("Ebony-Tenant"), "a")
+	assert.Equal(t, received.Header.Get("Ebony-Home-Regions"), "")
 	assert.Equal(t, owner.admitted[0].Priority, int64(2))
+	assert.DeepEqual(t, owner.admitted[0].HomeRegions, []string{"r1"})
 	assert.Equal(t, receiver.takes.Load()+receiver.checks.Load(), int64(2))
 	assert.Equal(t, owner.takes.Load()+owner.checks.Load()+owner.awaits.Load(), int64(0))
 }
--- a/entry/proxy/attempt.go
+++ b/entry/proxy/attempt.go
@@ -191,6 +191,9 @@
 	if toRegion != "" {
 		out.Header.Set(core.HeaderToRegion, toRegion)
 	}
+	if len(req.access.HomeRegions) > 0 {
+		out.Header.Set(core.HeaderHomeRegions, strings.Join(req.access.HomeRegions, ","))
+	}
 	result := p.exchange(ctx, req, c, out, release)
 	p.interpretPeerResponse(result)
 	p.updatePeerLoad(req, result, peer)
--- a/entry/proxy/header.go
+++ b/entry/proxy/header.go
@@ -17,7 +17,8 @@
 
 // internalHeaders lists, in canonical form, the headers that only entry processes may set.
 var internalHeaders = []string{
-	core.HeaderAttempt, core.HeaderHops, core.HeaderLoad, core.HeaderFromRegion, core.HeaderRequestID, core.HeaderToRegion, core.HeaderTried,
+	core.HeaderAttempt, core.HeaderHomeRegions, core.HeaderHops, core.HeaderLoad, core.HeaderFromRegion, core.HeaderRequestID,
+	core.HeaderToRegion, core.HeaderTried,
 }
 
 func removeHopByHop(h http.Header) {
--- a/entry/route/router.go
+++ b/entry/route/router.go
@@ -66,9 +66,15 @@
 		return core.Hop{}, reject(codes.NoPermittedTarget, "service is not in the settings")
 	}
 	if request.ToRegion != "" && request.ToRegion != r.config.Region {
+		if !permitted(&request, request.ToRegion) {
+			return core.Hop{}, rejectRegion()
+		}
 		return r.remoteHop(&request, st)
 	}
 	fromRemote := request.FromRegion != "" && request.FromRegion != r.config.Region
+	if !permitted(&request, r.config.Region) {
+		return r.foreignHop(&request, st, fromRemote)
+	}
 	if !fromRemote && len(request.TriedHosts) == 0 && len(st.shifts) > 0 {
 		if hop, ok := r.deliberateHop(&request, st); ok {
 			return hop, nil
@@ -140,8 +146,33 @@
 	}
 }
 
-// gatewayHop returns the hop to the owner of a shift if it is reachable and has not been tried.
+// foreignHop returns the hop of a request whose home regions do not include the local one.
+func (r *Router) foreignHop(request *core.RouteRequest, st *serviceTable, fromRemote bool) (core.Hop, error) {
+	if fromRemote {
+		return core.Hop{}, rejectRegion()
+	}
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if hop, ok := r.spillOver(request, st, nil, core.ServiceLoad{}); ok {
+		return hop, nil
+	}
+	return core.Hop{}, rejectRegion()
+}
+
+// permitted reports whether the request may run in the region.
+func permitted(request *core.RouteRequest, region string) bool {
+	return len(request.HomeRegions) == 0 || slices.Contains(request.HomeRegions, region)
+}
+
+func rejectRegion() error {
+	return reject(codes.NoPermittedTarget, "no home region of the request can be reached")
+}
+
+// gatewayHop returns the hop to the owner of a shift if it leads to a permitted region, is reachable and has not been tried.
 func (r *Router) gatewayHop(request *core.RouteRequest, shift *shiftTable) (core.Hop, bool) {
+	if !permitted(request, shift.to) {
+		return core.Hop{}, false
+	}
 	host, ok := r.config.Ownership.Owner(r.config.Region, shift.object)
 	if !ok || slices.Contains(request.TriedHosts, host.Host) {
 		return core.Hop{}, false
@@ -164,7 +195,7 @@
 func (r *Router) deliberateHop(request *core.RouteRequest, st *serviceTable) (core.Hop, bool) {
 	now := r.config.Timer.Now()
 	for _, shift := range st.shifts {
-		if shift.percent <= 0 || !r.takeShare(shift, now) {
+		if shift.percent <= 0 || !permitted(request, shift.to) || !r.takeShare(shift, now) {
 			continue
 		}
 		if hop, ok := r.gatewayHop(request, shift); ok {
--- a/entry/route/router_test.go
+++ b/entry/route/router_test.go
@@ -214,6 +214,56 @@
 			},
 			kind: core.HopGateway, host: "h3",
 		},
+		"home region is another one": {
+			failure: "a request that runs locally although its home is another region",
+			edit: func(f *fixture, q *core.RouteRequest) {
+				f.local.FreeSlots = 1
+				f.setLatency()
+				q.HomeRegions = []string{"r2"}
+			},
+			kind: core.HopGateway, host: "h3",
+		},
+		"home region forbids a deliberate share": {
+			failure: "a request that a configured percent moves out of its home region",
+			edit: func(f *fixture, q *core.RouteRequest) {
+				f.setShift(100)
+				f.local.FreeSlots = 1
+				q.HomeRegions = []string{"r1"}
+			},
+			kind: core.HopLocal,
+		},
+		"home region forbids spilling over": {
+			failure: "a request that spills over into a region that is not its home",
+			edit:    func(_ *fixture, q *core.RouteRequest) { q.HomeRegions = []string{"r1"} },
+			reports: []core.LoadReport{report("h2", "r1", 0, 9), report("h5", "r2", 2, 0)},
+			kind:    core.HopOwner, host: "h2",
+		},
+		"gateway to a region that is no home": {
+			failure: "a gateway that sends a request to a region that is not its home",
+			edit: func(_ *fixture, q *core.RouteRequest) {
+				q.ToRegion = "r2"
+				q.HomeRegions = []string{"r1"}
+			},
+			reports: []core.LoadReport{report("h5", "r2", 2, 0)},
+			code:    codes.NoPermittedTarget,
+		},
+		"request from another region that is no home": {
+			failure: "an owner that runs a request of another region although its own is not a home of the request",
+			edit: func(f *fixture, q *core.RouteRequest) {
+				f.local.FreeSlots = 1
+				q.FromRegion = "r2"
+				q.HomeRegions = []string{"r2"}
+			},
+			code: codes.NoPermittedTarget,
+		},
+		"no region is a home": {
+			failure: "a request that runs although no region that can be reached is its home",
+			edit: func(f *fixture, q *core.RouteRequest) {
+				f.local.FreeSlots = 1
+				q.HomeRegions = []string{"r9"}
+			},
+			code: codes.NoPermittedTarget,
+		},
 		"tried hosts": {
 			failure: "a retry at a host that rejected the request",
 			edit: func(f *fixture, q *core.RouteRequest) {
