--- a/ebonyctl/script_test.go
+++ b/ebonyctl/script_test.go
@@ -71,6 +71,10 @@
 				"three.json": fmt.Sprintf(settingsFormat, 800, "1", 5),
 				"bad.json":   fmt.Sprintf(settingsFormat, 900, `"x"`, -5),
 				"gone.json":  strings.Replace(fmt.Sprintf(settingsFormat, 900, "1", 5), "{", `{"blocks":{"parts":1,"version":"gone"},`, 1),
+				"customers.json": strings.Replace(fmt.Sprintf(settingsFormat, 900, "1", 5), "{", `{"require_keys":true,"customers":[{"name":"acme",`+
+					`"key_digests":["`+core.DigestKey("plain-key").String()+`"],"requests_per_second":2.5,"home_regions":["r"]}],`, 1),
+				"badcustomers.json": strings.Replace(fmt.Sprintf(settingsFormat, 900, "1", 5), "{", `{"require_keys":true,"customers":[{"name":"acme",`+
+					`"key_digests":["plain-key"],"requests_per_second":-1},{"name":"","key_digests":[],"home_regions":["x"]}],`, 1),
 			}
 			for name, content := range files {
 				if err := os.WriteFile(filepath.Join(e.WorkDir, name), []byte(content), 0o600); err != nil {
