--- a/core/links/metrics.go
+++ b/core/links/metrics.go
@@ -16,7 +16,7 @@
 // exportedTopics lists the topics whose sent frames and bytes are exported as metrics.
 var exportedTopics = []string{
 	core.TopicDocument, core.TopicDocumentGet, core.TopicEntryStatus, core.TopicHosts, core.TopicLeaseAdvice, core.TopicLeaseChange,
-	core.TopicLeaseConfirm, core.TopicLeaseRenew, core.TopicLoad, core.TopicMember, core.TopicMemberRevoke, core.TopicStatusGet,
+	core.TopicLeaseConfirm, core.TopicLeaseRenew, core.TopicLoad, core.TopicMember, core.TopicMemberRevoke, core.TopicSettingsProof, core.TopicStatusGet,
 	core.TopicSync, topicHeartbeat, topicReply,
 }
 
--- a/steer/roster/roster.go
+++ b/steer/roster/roster.go
@@ -1,6 +1,7 @@
 package roster
 
 import (
+	"cmp"
 	"slices"
 	"strings"
 	"sync"
@@ -12,6 +13,10 @@
 	"ebonyrouter.dev/core/event"
 )
 
+// maxReaders is the number of hosts of a region that read the store for the others; the second one is asked if the first does
+// not answer.
+const maxReaders = 2
+
 // linkGrace is the time that the link to a host may take to open after its registration was added or changed; until then
 // the host does not count as dead.
 const linkGrace = time.Second
@@ -37,6 +42,8 @@
 	mutex   sync.Mutex
 	names   map[string][]string
 	peers   []string
+	// ranked lists the registered hosts of the region in the order in which Readers prefers them.
+	ranked []string
 	// self is the registration of this host; links are kept to the other hosts of its region.
 	self core.Host
 	// slots returns the number of target slots of an average region.
@@ -138,6 +145,24 @@
 	r.index()
 }
 
+// Readers returns the link addresses of the first maxReaders live hosts of the region, which may include this host. All hosts
+// prefer the same ones: those with the most capacity, which lookups name as well, so that they need no link to themselves.
+func (r *Roster) Readers() []string {
+	now := r.timer.Now()
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+	var readers []string
+	for _, name := range r.ranked {
+		if h := r.hosts[name]; r.alive(&h, now) && !r.stopping[name] {
+			readers = append(readers, h.LinkAddress)
+		}
+		if len(readers) == maxReaders {
+			break
+		}
+	}
+	return readers
+}
+
 // Remove deletes the registration of a host.
 func (r *Roster) Remove(name string) {
 	r.mutex.Lock()
@@ -244,6 +269,9 @@
 	for _, names := range r.names {
 		slices.SortFunc(names, strings.Compare)
 	}
+	r.ranked = slices.SortedFunc(slices.Values(r.names[r.self.Region]), func(a, b string) int {
+		return cmp.Or(cmp.Compare(r.hosts[b].Capacity, r.hosts[a].Capacity), cmp.Compare(a, b))
+	})
 }
 
 // needsLink reports whether this process keeps a link to a host: to all other hosts of its region.
