--- a/core/settings_proof.go
+++ b/core/settings_proof.go
@@ -17,7 +17,8 @@
 type SettingsProof struct {
 	_msgpack struct{} `msgpack:",as_array"` //nolint:unused // Read by the msgpack package.
 
-	// AgeNs is the time since just before the read was sent, in nanoseconds.
+	// AgeNs is the time from just before the read was sent until the request was received, in nanoseconds, or 0 if the read was
+	// sent later.
 	AgeNs int64 `json:"age_ns" msgpack:"age_ns"`
 	// Digest is the digest of the content of the revision.
 	Digest string `json:"digest" msgpack:"digest"`
--- a/steer/proof/checker.go
+++ b/steer/proof/checker.go
@@ -39,6 +39,9 @@
 
 // New returns a Checker and registers its request handler with the links. Run must be called.
 func New(config Config) *Checker {
+	if config.Random == nil {
+		config.Random = randomBelow
+	}
 	c := &Checker{config: config, wake: make(chan struct{}, 1)}
 	c.state.Store(&state{changed: make(chan struct{})})
 	config.Links.HandleRequest(core.TopicSettingsProof, c.handleRequest)
@@ -89,7 +92,7 @@
 func (c *Checker) check(revision int64) *core.RejectedError {
 	s := c.state.Load()
 	digest := ""
-	if inForce := c.config.Settings.Current(); inForce.Revision() == revision {
+	if inForce := c.config.Settings.Current(); inForce != nil && inForce.Head.Revision == revision {
 		digest = inForce.Head.Digest
 	}
 	if s.outdated(revision, digest) {
--- a/steer/proof/config.go
+++ b/steer/proof/config.go
@@ -1,6 +1,7 @@
 package proof
 
 import (
+	"math/rand/v2"
 	"time"
 
 	"go.uber.org/zap"
@@ -16,6 +17,8 @@
 	MaxAge time.Duration
 	// Newest reads the store.
 	Newest core.NewestSettingsReader
+	// Random returns a random duration from 0 to below limit. It may be nil outside tests.
+	Random func(limit time.Duration) time.Duration
 	// ReadSettings makes the host read the settings again at once. It must not block.
 	ReadSettings func()
 	// Readers returns the link addresses of the hosts of the region that read the store for the others, first the one to ask
@@ -70,3 +73,8 @@
 func (c *Checker) part(fraction float64) time.Duration {
 	return time.Duration(fraction * float64(c.config.MaxAge))
 }
+
+// randomBelow returns a random duration from 0 to below limit.
+func randomBelow(limit time.Duration) time.Duration {
+	return rand.N(limit)
+}
--- a/steer/proof/reading.go
+++ b/steer/proof/reading.go
@@ -18,6 +18,7 @@
 // readStore reads the store, or waits for the read in progress. With reuseFailure set, it returns the error of a read that has
 // just failed, so that a reader whose store refuses is not made to read by each request.
 func (c *Checker) readStore(ctx context.Context, reuseFailure bool) error {
+	now := c.config.Timer.Now()
 	c.mutex.Lock()
 	if r := c.reading; r != nil {
 		c.mutex.Unlock()
@@ -28,7 +29,7 @@
 			return ctx.Err()
 		}
 	}
-	if last := c.lastRead; reuseFailure && last != nil && last.err != nil && c.config.Timer.Now().Sub(last.endedAt) < c.part(failurePart) {
+	if last := c.lastRead; reuseFailure && last != nil && last.err != nil && now.Sub(last.endedAt) < c.part(failurePart) {
 		c.mutex.Unlock()
 		return last.err
 	}
--- a/steer/proof/refresh.go
+++ b/steer/proof/refresh.go
@@ -2,7 +2,7 @@
 
 import (
 	"context"
-	"math/rand/v2"
+	"slices"
 	"time"
 
 	"github.com/juju/errors"
@@ -46,7 +46,7 @@
 		c.failing.Store(!c.youngerThan(c.config.MaxAge))
 		select {
 		case <-ctx.Done():
-		case <-c.config.Timer.After(retry/2 + rand.N(retry)):
+		case <-c.config.Timer.After(retry/2 + c.config.Random(retry)):
 		}
 		retry = min(c.part(maxRetryPart), 2*retry)
 	}
@@ -83,20 +83,20 @@
 // ownStore stands for the host's own read among the sources of a refresh.
 const ownStore = ""
 
-// sources returns where to get a proof, in order: the readers of the region and then the store, or the store first on the
-// first reader.
+// readersBeforeStore is the number of readers that a host asks before it reads the store. The others are asked last, for a host and
+// readers that the store refuses while it serves others.
+const readersBeforeStore = 2
+
+// sources returns where to get a proof, in order: two readers of the region, the store and the remaining readers. The first reader
+// begins with the store.
 func (c *Checker) sources() []string {
 	readers := c.config.Readers()
-	var all []string
-	for _, r := range readers {
-		if r != c.config.Self {
-			all = append(all, r)
-		}
-	}
+	position := min(len(readers), readersBeforeStore)
 	if len(readers) > 0 && readers[0] == c.config.Self {
-		return append([]string{ownStore}, all...)
+		position = 0
 	}
-	return append(all, ownStore)
+	others := slices.DeleteFunc(slices.Clone(readers), func(r string) bool { return r == c.config.Self })
+	return slices.Insert(others, min(position, len(others)), ownStore)
 }
 
 // refresh tries the sources until the proof is recent. The next one is tried when all before have failed, and beside them when
@@ -117,7 +117,7 @@
 		if next < len(sources) && hedged == nil {
 			source, delay := sources[next], time.Duration(0)
 			if source == ownStore && next > 0 {
-				delay = rand.N(jitter)
+				delay = c.config.Random(jitter)
 			}
 			go func() { results <- c.try(refreshCtx, source, delay) }()
 			next++
@@ -189,6 +189,7 @@
 // asks a third host, so that two hosts that are each other's readers do not wait for each other.
 func (c *Checker) handleRequest(ctx context.Context, _ string, _ []byte) ([]byte, error) {
 	c.counters.answered.Add(1)
+	receivedAt := c.config.Timer.Now()
 	if !c.youngerThan(c.part(reusePart)) {
 		// The read serves all that wait for it, so it does not end with the link of the first of them. If it fails, the
 		// requester decides whether the proof at hand is of use.
@@ -197,10 +198,12 @@
 		}
 	}
 	s := c.state.Load()
-	age, proven := s.age(c.config.Timer.Now())
-	if !proven {
+	if !s.proven {
 		return nil, errors.New("no proof")
 	}
+	// The requester subtracts the age from the time of its question, which is before receivedAt. A read that began later is
+	// younger than the question.
+	age := max(0, receivedAt.Sub(s.at))
 	payload, err := wire.Encode(core.SettingsProof{
 		AgeNs: int64(age), Digest: s.digest, Era: s.era, Revision: s.revision, RevisionEra: s.revisionEra,
 	})
--- a/steer/roster/roster.go
+++ b/steer/roster/roster.go
@@ -13,9 +13,9 @@
 	"ebonyrouter.dev/core/event"
 )
 
-// maxReaders is the number of hosts of a region that read the store for the others; the second one is asked if the first does
-// not answer.
-const maxReaders = 2
+// maxReaders is the number of hosts of a region that may be asked to read the store for the others. All ask the first one; the
+// second and third are asked if those before do not answer.
+const maxReaders = 3
 
 // linkGrace is the time that the link to a host may take to open after its registration was added or changed; until then
 // the host does not count as dead.
--- a/steer/roster/roster_test.go
+++ b/steer/roster/roster_test.go
@@ -112,3 +112,31 @@
 		})
 	}
 }
+
+// TestReaders guards against hosts of a region that ask different readers, or readers that are dead, stopping or of another region.
+func TestReaders(t *testing.T) {
+	cases := map[string]struct {
+		dead, stopping []string
+		want           []string
+	}{
+		"all live":            {nil, nil, []string{"d:72", "a:72", "b:72"}},
+		"largest dead":        {[]string{"d"}, nil, []string{"a:72", "b:72", "c:72"}},
+		"largest is stopping": {nil, []string{"d"}, []string{"a:72", "b:72", "c:72"}},
+		"only this host":      {[]string{"b", "c", "d"}, nil, []string{"a:72"}},
+	}
+	for name, k := range cases {
+		t.Run(name, func(t *testing.T) {
+			r, links, _ := newRoster(10)
+			other := host("e", "r2", "z3")
+			other.Capacity = 2
+			r.Put(other)
+			for _, dead := range k.dead {
+				links.alive[dead+":72"] = false
+			}
+			for _, stopping := range k.stopping {
+				r.RecordStopping(stopping, true)
+			}
+			assert.DeepEqual(t, r.Readers(), k.want)
+		})
+	}
+}
