--- a/steer/proof/checker.go
+++ b/steer/proof/checker.go
@@ -48,19 +48,23 @@
 	return c
 }
 
-// Await implements core.FreshnessChecker.Await. It waits for 300 ms at most, and not at all if newer settings are known or if the
-// last attempts to get a proof have failed.
+// Await implements core.FreshnessChecker.Await. It waits for 300 ms at most, and not at all if the last attempts to get a proof have
+// failed. If newer settings are known, it returns as soon as they are in force, so that the caller can look up the key in them.
 func (c *Checker) Await(ctx context.Context, revision int64) error {
 	c.noteDemand()
 	err := c.check(revision)
-	if err == nil || err == errOutdated || c.failing.Load() {
+	if err == nil || err == errNoProof && c.failing.Load() {
 		return c.result(err)
 	}
 	timeout := c.config.Timer.After(awaitTime)
 	for {
 		current := c.state.Load()
-		if err = c.check(revision); err == nil || err == errOutdated {
-			return c.result(err)
+		if err = c.check(revision); err == nil {
+			return c.result(nil)
+		}
+		if err == errOutdated && c.config.Settings.Current().Revision() > revision {
+			// The request is not refused yet, so it is not counted as such.
+			return err
 		}
 		c.wakeRun()
 		select {
@@ -88,6 +92,14 @@
 	}
 }
 
+// ObserveSettings makes Await look at the settings in force again. It must be called when they change and does not block.
+func (c *Checker) ObserveSettings(*core.Snapshot) {
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	current := c.state.Load()
+	c.replace(current.inEra(current.era))
+}
+
 // check returns nil, errNoProof or errOutdated.
 func (c *Checker) check(revision int64) *core.RejectedError {
 	s := c.state.Load()
--- a/steer/proof/proof_test.go
+++ b/steer/proof/proof_test.go
@@ -206,8 +206,8 @@
 	})
 }
 
-// TestOlderSettingsAreRead guards against a host that goes on with settings that are older than its proof, or waits for the store to send
-// them.
+// TestOlderSettingsAreRead guards against a host that goes on with settings that are older than its proof, waits for the store to send
+// them, or refuses requests that wait while they are read.
 func TestOlderSettingsAreRead(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		r := newRegion(t, 2, 1)
@@ -217,6 +217,7 @@
 		r.hosts[1].setStale(true)
 		r.withdraw()
 		r.run(1500*time.Millisecond, 0, 1)
+		assert.Equal(t, r.hosts[1].refused, 0)
 		assert.Equal(t, r.hosts[1].settingsReads, 1)
 		assert.Equal(t, r.hosts[1].settings.Current().Revision(), int64(2))
 		// The revision that a request was routed by is refused although the newer one is in force meanwhile.
--- a/steer/proof/sim_test.go
+++ b/steer/proof/sim_test.go
@@ -160,6 +160,7 @@
 		},
 		Readers: h.readers, Self: h.name, Settings: settings, Timer: simTimer{nil, h},
 	})
+	settings.Subscribe(checker.ObserveSettings)
 	h.region.mutex.Lock()
 	h.checker, h.settings, h.stop = checker, settings, stop
 	h.region.mutex.Unlock()
@@ -301,6 +302,11 @@
 	revision := settings.Current().Revision()
 	h.region.tasks.Go(func() {
 		err := checker.Await(h.region.ctx, revision)
+		for err != nil && settings.Current().Revision() > revision {
+			// The proxy looks up the key in the newer settings.
+			revision = settings.Current().Revision()
+			err = checker.Await(h.region.ctx, revision)
+		}
 		if err == nil {
 			err = checker.Check(revision)
 		}
