--- a/core/config/holder.go
+++ b/core/config/holder.go
@@ -13,7 +13,7 @@
 const (
 	// ErrLowerRevision means that a higher revision is already in force.
 	ErrLowerRevision = errors.ConstError("settings revision is lower than the one in force")
-	// ErrOtherContent means that the revision is already in force with different content.
+	// ErrOtherContent means that the revision is already in force with different content of the same or a later era.
 	ErrOtherContent = errors.ConstError("settings revision is in force with different content")
 )
 
@@ -44,6 +44,8 @@
 		switch {
 		case snapshot.Head.Revision < old.Head.Revision:
 			return errors.Annotatef(ErrLowerRevision, "revision %d, in force %d", snapshot.Head.Revision, old.Head.Revision)
+		case snapshot.Head.Revision == old.Head.Revision && snapshot.Head.Digest != old.Head.Digest && snapshot.Head.Era > old.Head.Era:
+			// A store that was restored from an older copy had lost the revision and got it again.
 		case snapshot.Head.Revision == old.Head.Revision && snapshot.Head.Digest != old.Head.Digest:
 			return errors.Annotatef(ErrOtherContent, "revision %d", snapshot.Head.Revision)
 		case snapshot.Head.Revision == old.Head.Revision:
--- a/core/settings.go
+++ b/core/settings.go
@@ -92,6 +92,9 @@
 	Author   string `json:"author" msgpack:"author"`
 	ChangeID string `json:"change_id" msgpack:"change_id"`
 	Digest   string `json:"digest" msgpack:"digest"`
+	// Era is the era of the store from which the revision was read. A store that was restored from an older copy, which begins
+	// another era, may get a revision again with other content.
+	Era      int64  `json:"era,omitempty" msgpack:"era,omitempty"`
 	Message  string `json:"message" msgpack:"message"`
 	Parts    int    `json:"parts" msgpack:"parts"`
 	Revision int64  `json:"revision" msgpack:"revision"`
--- a/steer/proof/proof_test.go
+++ b/steer/proof/proof_test.go
@@ -6,6 +6,8 @@
 	"time"
 
 	"gotest.tools/v3/assert"
+
+	"ebonyrouter.dev/core"
 )
 
 // setStore sets what the store does with the calls of some hosts.
@@ -246,3 +248,65 @@
 		assert.ErrorContains(t, h.checker.Check(1), "newer settings exist")
 	})
 }
+
+// TestErasAreSeenAtDifferentTimes guards against a proof of an earlier era that a host gets from a reader which has not seen the restore, and
+// against a reader that goes on by its own one when another host has told it of a later era.
+func TestErasAreSeenAtDifferentTimes(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		r := newRegion(t, 3, 1)
+		defer r.close()
+		r.run(5*time.Second, 0, 2)
+		r.setStore(storeSilent, 2)
+		r.setLags(1, true, 0, 1)
+		r.hosts[2].checker.ObserveEra(1)
+		r.run(4*time.Second, 0, 2)
+		assert.ErrorContains(t, r.hosts[2].checker.Check(1), "no recent proof")
+		assert.NilError(t, r.hosts[0].checker.Check(1))
+		r.setLags(1, false, 1)
+		r.run(2*time.Second, 0, 2)
+		assert.NilError(t, r.hosts[2].checker.Check(1))
+		r.forget()
+		r.run(10*time.Second, 0, 2)
+		assert.Equal(t, r.hosts[0].refused, 0)
+		assert.Equal(t, r.hosts[2].refused, 0)
+	})
+}
+
+// setLags sets the era of the store and whether some hosts still read the one before.
+func (r *region) setLags(era int64, lags bool, hosts ...int) {
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+	r.era = era
+	for _, n := range hosts {
+		r.hosts[n].lags = lags
+	}
+}
+
+// TestRevisionAgainWithOtherContent guards against a host that accepts keys by content which a restored store has replaced under the same
+// revision, and against one that refuses the new content.
+func TestRevisionAgainWithOtherContent(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		r := newRegion(t, 1, 1)
+		defer r.close()
+		h := r.hosts[0]
+		r.setContent(0, "a")
+		h.setStale(true)
+		assert.NilError(t, h.settings.Set(&core.Snapshot{Head: core.SettingsHead{Digest: "a", Revision: 2}}))
+		r.withdraw()
+		r.run(3*time.Second, 0)
+		assert.NilError(t, h.checker.Check(2))
+		r.setContent(1, "b")
+		h.checker.ObserveEra(1)
+		r.run(3*time.Second, 0)
+		assert.ErrorContains(t, h.checker.Check(2), "newer settings")
+		assert.NilError(t, h.settings.Set(&core.Snapshot{Head: core.SettingsHead{Digest: "b", Era: 1, Revision: 2}}))
+		assert.NilError(t, h.checker.Check(2))
+	})
+}
+
+// setContent sets the era of the store and the digest of its settings.
+func (r *region) setContent(era int64, digest string) {
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+	r.era, r.digest = era, digest
+}
--- a/steer/proof/sim_test.go
+++ b/steer/proof/sim_test.go
@@ -41,6 +41,7 @@
 	confirmed []time.Time
 	// callTime is the time that the store takes.
 	callTime time.Duration
+	digest   string
 	era      int64
 	// linkCuts holds the pairs of hosts whose links are silent.
 	linkCuts map[[2]string]bool
@@ -62,6 +63,8 @@
 	settings *config.Holder
 	// store is what the store does with calls of the host.
 	store storeFault
+	// lags makes reads of the host return the era before the present one.
+	lags bool
 	// stale stops the host from following the settings by itself. settingsReads counts the calls of ReadSettings.
 	stale         bool
 	settingsReads int
@@ -275,7 +278,10 @@
 		return core.NewestSettings{}, errors.WithType(errors.New("refused"), core.ErrUnavailable)
 	}
 	h.region.mutex.Lock()
-	newest := core.NewestSettings{Era: h.region.era, Revision: int64(len(h.region.confirmed))}
+	newest := core.NewestSettings{Digest: h.region.digest, Era: h.region.era, Revision: int64(len(h.region.confirmed))}
+	if h.lags {
+		newest.Era--
+	}
 	h.region.mutex.Unlock()
 	err := sleep(ctx, took/2)
 	h.gate()
--- a/steer/roster/roster.go
+++ b/steer/roster/roster.go
@@ -17,6 +17,10 @@
 // second and third are asked if those before do not answer.
 const maxReaders = 3
 
+// restoreGrace is the time after a restore of the store in which hosts write their registrations again. A host that is missing from the
+// store is kept as long.
+const restoreGrace = 2 * time.Second
+
 // linkGrace is the time that the link to a host may take to open after its registration was added or changed; until then
 // the host does not count as dead.
 const linkGrace = time.Second
@@ -46,6 +50,9 @@
 	ranked []string
 	// self is the registration of this host; links are kept to the other hosts of its region.
 	self core.Host
+	// restoredAt is the time of the last MarkRestored, or 0; unlisted holds the hosts that the restored store lacks.
+	restoredAt core.Instant
+	unlisted   map[string]bool
 	// slots returns the number of target slots of an average region.
 	slots func() float64
 	// stopping holds the hosts that have reported that they are stopping.
@@ -92,7 +99,7 @@
 func New(self core.Host, links PeerLinks, timer core.Timer, log *zap.Logger, options ...Option) *Roster {
 	r := &Roster{
 		lookups: map[location]cachedLookup{}, demand: demand{rates: map[string]rate{}}, hosts: map[string]registration{}, links: links, log: log, self: self,
-		slots: func() float64 { return 0 }, stopping: map[string]bool{}, timer: timer,
+		slots: func() float64 { return 0 }, stopping: map[string]bool{}, timer: timer, unlisted: map[string]bool{},
 	}
 	for _, apply := range options {
 		apply(r)
@@ -181,13 +188,45 @@
 		r.put(h)
 	}
 	for name := range r.hosts {
-		if !listed[name] {
+		switch {
+		case listed[name]:
+		case r.restoring():
+			r.unlisted[name] = true
+		default:
 			r.remove(name)
 		}
 	}
 	r.index()
 }
 
+// MarkRestored records that the store was restored from an older copy. Hosts that are missing from it are kept for restoreGrace. Hosts that
+// appear meanwhile may have left before, so they are not alive until their links are.
+func (r *Roster) MarkRestored() {
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+	if len(r.hosts) > 0 {
+		r.restoredAt = r.timer.Now()
+	}
+}
+
+// RemoveMissing removes the hosts that are still missing restoreGrace after a restore of the store.
+func (r *Roster) RemoveMissing() {
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+	if len(r.unlisted) == 0 || r.restoring() {
+		return
+	}
+	for name := range r.unlisted {
+		r.remove(name)
+	}
+	r.index()
+}
+
+// restoring reports whether hosts may still write their registrations again after a restore; the caller holds the mutex.
+func (r *Roster) restoring() bool {
+	return r.restoredAt != 0 && r.timer.Now().Sub(r.restoredAt) < restoreGrace
+}
+
 // Resolve returns the live hosts for callers in a region and availability zone: the fewest hosts of the region that can
 // carry its demand. If that takes all of them or their capacity is unknown, it returns those of the zone, else those of
 // the region, else the fewest of all live hosts that can carry the demand. The slice must not be modified.
@@ -281,6 +320,7 @@
 
 // put stores a registration; the caller holds the mutex.
 func (r *Roster) put(host core.Host) {
+	delete(r.unlisted, host.Host)
 	old, found := r.hosts[host.Host]
 	if found && old.Host == host {
 		return
@@ -292,7 +332,11 @@
 		delete(r.stopping, host.Host)
 	}
 	event.HostListed.Write(r.log, zap.String("host", host.Host), zap.String("incarnation", host.Incarnation), zap.String("zone", host.Zone))
-	r.hosts[host.Host] = registration{Host: host, updatedAt: r.timer.Now()}
+	updatedAt := r.timer.Now()
+	if r.restoring() {
+		updatedAt = updatedAt.Add(-linkGrace)
+	}
+	r.hosts[host.Host] = registration{Host: host, updatedAt: updatedAt}
 	if r.needsLink(host) {
 		r.links.Connect(host.LinkAddress)
 	}
@@ -310,4 +354,5 @@
 	}
 	delete(r.hosts, name)
 	delete(r.stopping, name)
+	delete(r.unlisted, name)
 }
--- a/steer/roster/roster_test.go
+++ b/steer/roster/roster_test.go
@@ -140,3 +140,35 @@
 		})
 	}
 }
+
+// TestRestoredStore guards against lookups that do not name a host whose registration the restored store has lost, or that name one which has
+// left and whose registration the store got back.
+func TestRestoredStore(t *testing.T) {
+	a, b, c := host("a", "r1", "z1"), host("b", "r1", "z1"), host("c", "r1", "z1")
+	cases := map[string]struct {
+		steps func(*roster.Roster, *timer.Manual)
+		want  []string
+	}{
+		"lost":                   {func(r *roster.Roster, _ *timer.Manual) { r.Reset([]core.Host{a}) }, []string{"a", "b"}},
+		"lost, written again":    {func(r *roster.Roster, m *timer.Manual) { r.Reset([]core.Host{a}); r.Put(b); m.Advance(time.Minute) }, []string{"a", "b"}},
+		"lost, not written":      {func(r *roster.Roster, m *timer.Manual) { r.Reset([]core.Host{a}); m.Advance(3 * time.Second) }, []string{"a"}},
+		"lost, then removed":     {func(r *roster.Roster, _ *timer.Manual) { r.Reset([]core.Host{a}); r.Remove("b") }, []string{"a"}},
+		"left before and listed": {func(r *roster.Roster, _ *timer.Manual) { r.Reset([]core.Host{a, b, c}) }, []string{"a", "b"}},
+	}
+	for name, k := range cases {
+		t.Run(name, func(t *testing.T) {
+			m := timer.NewManual()
+			r := roster.New(a, &fakeLinks{map[string]bool{"b:72": true}, map[string]bool{}}, m, zap.NewNop())
+			r.Reset([]core.Host{a, b})
+			m.Advance(time.Minute)
+			r.MarkRestored()
+			k.steps(r, m)
+			r.RemoveMissing()
+			var got []string
+			for _, h := range r.Resolve("r1", "z1") {
+				got = append(got, h.Host)
+			}
+			assert.DeepEqual(t, got, k.want)
+		})
+	}
+}
