--- a/entry/proxy/access_test.go
+++ b/entry/proxy/access_test.go
@@ -278,7 +278,9 @@
 	received := <-up.received
 	assert.Equal(t, received.Header.Get("Authorization"), "")
 	assert.Equal(t, received.Header.Get("Ebony-Tenant"), "a")
+	assert.Equal(t, received.Header.Get("Ebony-Home-Regions"), "")
 	assert.Equal(t, owner.admitted[0].Priority, int64(2))
+	assert.DeepEqual(t, owner.admitted[0].HomeRegions, []string{"r1"})
 	assert.Equal(t, receiver.takes.Load()+receiver.checks.Load(), int64(2))
 	assert.Equal(t, owner.takes.Load()+owner.checks.Load()+owner.awaits.Load(), int64(0))
 }
@@ -330,8 +332,12 @@
 			assert.Equal(t, got.summary(), c.want)
 			assert.DeepEqual(t, [2]int64{firstRan.Load(), secondRan.Load()}, c.ran)
 			if c.ran[0] == 0 {
-				outcome := <-fx.outcomes
-				assert.DeepEqual(t, outcome, core.Outcome{})
+				select {
+				case outcome := <-fx.outcomes:
+					assert.DeepEqual(t, outcome, core.Outcome{})
+				default:
+					t.Fatal("the slot was not released")
+				}
 				assert.Equal(t, len(p.pools.of(first.address, 4).idle), 1)
 				assert.Assert(t, !p.pools.of(first.address, 4).idle[0].reused)
 			}
