--- a/steer/proof/checker.go
+++ b/steer/proof/checker.go
@@ -49,11 +49,12 @@
 }
 
 // Await implements core.FreshnessChecker.Await. It waits for 300 ms at most, and not at all if the last attempts to get a proof have
-// failed. If newer settings are known, it returns as soon as they are in force, so that the caller can look up the key in them.
+// failed, or the settings were outdated for as long. If newer settings are known, it returns as soon as they are in force, so that the
+// caller can look up the key in them.
 func (c *Checker) Await(ctx context.Context, revision int64) error {
 	c.noteDemand()
 	err := c.check(revision)
-	if err == nil || err == errNoProof && c.failing.Load() {
+	if err == nil || err == errNoProof && c.failing.Load() || err == errOutdated && c.outdatedFor() >= awaitTime {
 		return c.result(err)
 	}
 	timeout := c.config.Timer.After(awaitTime)
@@ -165,11 +166,21 @@
 // settingsRead is one call of ReadSettings.
 type settingsRead struct {
 	at core.Instant
+	// firstAt is the time of the first call for the same newest revision.
+	firstAt core.Instant
 	// newest is the revision that the settings lacked, and wait the time until the next call for the same one.
 	newest int64
 	wait   time.Duration
 }
 
+// outdatedFor returns the time since the newest revision was first found to be missing.
+func (c *Checker) outdatedFor() time.Duration {
+	now := c.config.Timer.Now()
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	return now.Sub(c.settingsRead.firstAt)
+}
+
 // readSettings makes the host read the settings again: at once when a higher revision is known for the first time, then with
 // growing delays, because settings that this host cannot use would otherwise be read on and on.
 func (c *Checker) readSettings() {
@@ -178,9 +189,9 @@
 	last := c.settingsRead
 	switch {
 	case newest != last.newest:
-		c.settingsRead = settingsRead{now, newest, minSettingsReadWait}
+		c.settingsRead = settingsRead{now, now, newest, minSettingsReadWait}
 	case now.Sub(last.at) >= last.wait:
-		c.settingsRead = settingsRead{now, newest, min(2*last.wait, maxSettingsReadWait)}
+		c.settingsRead = settingsRead{now, last.firstAt, newest, min(2*last.wait, maxSettingsReadWait)}
 	default:
 		c.mutex.Unlock()
 		return
--- a/steer/proof/proof_test.go
+++ b/steer/proof/proof_test.go
@@ -310,3 +310,19 @@
 	defer r.mutex.Unlock()
 	r.era, r.digest = era, digest
 }
+
+// TestMissingSettingsDoNotHoldRequests guards against requests that wait again and again for settings which this host cannot read.
+func TestMissingSettingsDoNotHoldRequests(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		r := newRegion(t, 2, 1)
+		defer r.close()
+		r.run(5*time.Second, 0, 1)
+		r.setStore(storeSilent, 1)
+		r.hosts[1].setStale(true)
+		r.withdraw()
+		r.run(3*time.Second, 0, 1)
+		started := time.Now()
+		assert.ErrorContains(t, r.hosts[1].checker.Await(t.Context(), 1), "newer settings exist")
+		assert.Equal(t, time.Since(started), time.Duration(0))
+	})
+}
