--- a/steer/roster/roster_test.go
+++ b/steer/roster/roster_test.go
@@ -112,3 +112,63 @@
 		})
 	}
 }
+
+// TestReaders guards against hosts of a region that ask different readers, or readers that are dead, stopping or of another region.
+func TestReaders(t *testing.T) {
+	cases := map[string]struct {
+		dead, stopping []string
+		want           []string
+	}{
+		"all live":            {nil, nil, []string{"d:72", "a:72", "b:72"}},
+		"largest dead":        {[]string{"d"}, nil, []string{"a:72", "b:72", "c:72"}},
+		"largest is stopping": {nil, []string{"d"}, []string{"a:72", "b:72", "c:72"}},
+		"only this host":      {[]string{"b", "c", "d"}, nil, []string{"a:72"}},
+	}
+	for name, k := range cases {
+		t.Run(name, func(t *testing.T) {
+			r, links, _ := newRoster(10)
+			other := host("e", "r2", "z3")
+			other.Capacity = 2
+			r.Put(other)
+			for _, dead := range k.dead {
+				links.alive[dead+":72"] = false
+			}
+			for _, stopping := range k.stopping {
+				r.RecordStopping(stopping, true)
+			}
+			assert.DeepEqual(t, r.Readers(), k.want)
+		})
+	}
+}
+
+// TestRestoredStore guards against lookups that do not name a host whose registration the restored store has lost, or that name one which has
+// left and whose registration the store got back.
+func TestRestoredStore(t *testing.T) {
+	a, b, c := host("a", "r1", "z1"), host("b", "r1", "z1"), host("c", "r1", "z1")
+	cases := map[string]struct {
+		steps func(*roster.Roster, *timer.Manual)
+		want  []string
+	}{
+		"lost":                   {func(r *roster.Roster, _ *timer.Manual) { r.Reset([]core.Host{a}) }, []string{"a", "b"}},
+		"lost, written again":    {func(r *roster.Roster, m *timer.Manual) { r.Reset([]core.Host{a}); r.Put(b); m.Advance(time.Minute) }, []string{"a", "b"}},
+		"lost, not written":      {func(r *roster.Roster, m *timer.Manual) { r.Reset([]core.Host{a}); m.Advance(3 * time.Second) }, []string{"a"}},
+		"lost, then removed":     {func(r *roster.Roster, _ *timer.Manual) { r.Reset([]core.Host{a}); r.Remove("b") }, []string{"a"}},
+		"left before and listed": {func(r *roster.Roster, _ *timer.Manual) { r.Reset([]core.Host{a, b, c}) }, []string{"a", "b"}},
+	}
+	for name, k := range cases {
+		t.Run(name, func(t *testing.T) {
+			m := timer.NewManual()
+			r := roster.New(a, &fakeLinks{map[string]bool{"b:72": true}, map[string]bool{}}, m, zap.NewNop())
+			r.Reset([]core.Host{a, b})
+			m.Advance(time.Minute)
+			r.MarkRestored()
+			k.steps(r, m)
+			r.RemoveMissing()
+			var got []string
+			for _, h := range r.Resolve("r1", "z1") {
+				got = append(got, h.Host)
+			}
+			assert.DeepEqual(t, got, k.want)
+		})
+	}
+}
