--- a/core/config/decode.go
+++ b/core/config/decode.go
@@ -47,6 +47,7 @@
 
 // Encode returns the canonical JSON of a settings tree, or a *ProblemsError if the tree is invalid.
 func Encode(settings core.Settings) ([]byte, error) {
+	fill(&settings)
 	content, err := json.MarshalIndent(settings, "", "  ")
 	if err != nil {
 		return nil, errors.Annotate(err, "encode settings")
@@ -58,7 +59,7 @@
 	return content, nil
 }
 
-// fill replaces absent maps by empty ones, because an absent map is encoded as null, which Decode rejects.
+// fill replaces absent maps and lists by empty ones, because an absent one is encoded as null, which Decode rejects.
 func fill(settings *core.Settings) {
 	if settings.Services == nil {
 		settings.Services = map[string]core.ServiceSettings{}
@@ -69,4 +70,9 @@
 			settings.Services[name] = service
 		}
 	}
+	for i := range settings.Customers {
+		if settings.Customers[i].KeyDigests == nil {
+			settings.Customers[i].KeyDigests = []string{}
+		}
+	}
 }
