--- a/core/event/request.go
+++ b/core/event/request.go
@@ -16,9 +16,15 @@
 	RequestRejected    = Info{611, zapcore.InfoLevel, "request rejected before any target", "The request was not run; the fields state what was expected and after which time the caller may retry."}
 	RequestCompleted   = Info{612, zapcore.InfoLevel, "request completed", "A request has ended; the fields are its result code, whether it ran, its attempts and the version of the settings that determined its route."}
 	LinesDropped       = Info{613, zapcore.WarnLevel, "log lines dropped", "More lines were logged than the limit permits or than the reader of the log consumed; the field counts the dropped lines since the start."}
+	QuotaCoordinating  = Info{625, zapcore.InfoLevel, "coordinator of quotas elected", "This process divides the quotas of customers from now on. Until the wait has passed, it grants only what hosts report as held."}
+	QuotaStepDown      = Info{626, zapcore.InfoLevel, "coordinator of quotas stepped down", "Another process is elected, or the store was restored from an older copy; hosts keep their shares until their leases end."}
+	QuotaUnreachable   = Info{627, zapcore.WarnLevel, "coordinator of quotas unreachable", "The host got no shares; it uses those that it has until their leases end, and then a small part that needs no share."}
+	QuotaRefused       = Info{628, zapcore.InfoLevel, "request over the quota of its customer", "The share of this host is used up; the fields are the share, its age and the election that granted it."}
+	QuotaShareChanged  = Info{629, zapcore.DebugLevel, "share of a quota changed", "The rate of the share of this host has changed by more than a quarter."}
 )
 
 var requestTable = []Info{
 	RequestTruncated, RequestTimedOut, RequestRefused, RequestLeaseEnded, RequestNotRecorded, RequestBroken, HandlerPanicked, CallerBroken,
-	RequestPlaced, RequestRejected, RequestCompleted, LinesDropped,
+	RequestPlaced, RequestRejected, RequestCompleted, LinesDropped, QuotaCoordinating, QuotaStepDown, QuotaUnreachable, QuotaRefused,
+	QuotaShareChanged,
 }
--- a/core/meter/meter.go
+++ b/core/meter/meter.go
@@ -64,6 +64,11 @@
 	})
 }
 
+// CountCustomer increments the counter of a customer with this name. Customers beyond the limit of tenants share one counter.
+func (m *Meter) CountCustomer(name, customer string) {
+	m.Counter(fmt.Sprintf("%s{customer=%q}", name, m.tenants.value(clean(customer)))).Inc()
+}
+
 // RecordLatency adds one request of service and class to the histogram of latencies in seconds.
 func (m *Meter) RecordLatency(service, class string, d time.Duration) {
 	if !m.classes[class] {
--- /dev/null
+++ b/entry/quota/customer.go
@@ -0,0 +1,91 @@
+package quota
+
+import (
+	"math"
+	"time"
+
+	"ebonyrouter.dev/core"
+)
+
+const (
+	// demandRise and demandFall are the times in which the measured demand follows a change. It rises faster, because a share
+	// that is too small refuses requests.
+	demandRise    = 400 * time.Millisecond
+	demandFall    = time.Second
+	firstMeasured = time.Second
+	// minMeasured is the shortest span of a measurement.
+	minMeasured = 100 * time.Millisecond
+	// minLowBurst is the smallest burst of which a low rest is a reason for an ask; smaller ones are low all the time.
+	minLowBurst = 4
+)
+
+// customer is the share of one customer and the demand for it.
+type customer struct {
+	// arrived counts the requests since the last measurement.
+	arrived float64
+	// burst, level and rate are the share: the most unused requests, the unused requests, and requests per second.
+	burst float64
+	level float64
+	rate  float64
+	// demand is the recent rate of requests per second, measured at demandAt.
+	demand   float64
+	demandAt core.Instant
+	// exhaustedUntil is the instant until which the coordinator has nothing more.
+	exhaustedUntil core.Instant
+	// fallback is the number of requests that may be taken without a share; it fills with fallbackRate up to fallbackBurst.
+	fallback      float64
+	fallbackBurst float64
+	fallbackRate  float64
+	grantedAt     core.Instant
+	refilled      core.Instant
+	// fallbackBegun means that fallback holds the amount that has filled since the start of the process.
+	fallbackBegun bool
+	// released means that the share was given back.
+	released bool
+	settings *core.CustomerSettings
+	until    core.Instant
+	usedAt   core.Instant
+	waiting  int
+}
+
+// refill adds what has accrued since the last call. A share whose lease has ended is lost with its unused part.
+func (c *customer) refill(now, started core.Instant) {
+	elapsed := max(0, now.Sub(c.refilled).Seconds())
+	c.refilled = max(c.refilled, now)
+	if !c.fallbackBegun && c.fallbackBurst > 0 {
+		c.fallbackBegun = true
+		c.fallback = c.fallbackRate * max(0, now.Sub(started).Seconds())
+	}
+	c.fallback = min(c.fallback+c.fallbackRate*elapsed, c.fallbackBurst)
+	if !now.Before(c.until) {
+		c.drop()
+		return
+	}
+	c.level = min(c.level+min(c.rate, c.settings.RequestsPerSecond)*elapsed, c.burst)
+}
+
+// short reports whether requests wait, or there is no share or its unused part is low and the coordinator had something left.
+func (c *customer) short() bool {
+	none := !c.refilled.Before(c.until)
+	low := c.burst >= minLowBurst && c.level < c.burst/4
+	return c.waiting > 0 || (none || low) && !c.refilled.Before(c.exhaustedUntil)
+}
+
+// drop ends the share.
+func (c *customer) drop() {
+	c.burst, c.level, c.rate = 0, 0, 0
+}
+
+// measure updates the demand.
+func (c *customer) measure(now core.Instant) {
+	span := now.Sub(c.demandAt)
+	if span < minMeasured {
+		return
+	}
+	measured, follow := c.arrived/span.Seconds(), demandFall
+	if measured > c.demand {
+		follow = demandRise
+	}
+	c.demand += (measured - c.demand) * (1 - math.Exp(-span.Seconds()/follow.Seconds()))
+	c.demandAt, c.arrived = now, 0
+}
--- a/steer/roster/roster.go
+++ b/steer/roster/roster.go
@@ -37,6 +37,9 @@
 	mutex   sync.Mutex
 	names   map[string][]string
 	peers   []string
+	// rank is the result of Rank while ranked is true.
+	rank   int
+	ranked bool
 	// self is the registration of this host; links are kept to the other hosts of its region.
 	self core.Host
 	// slots returns the number of target slots of an average region.
@@ -232,6 +235,7 @@
 // index rebuilds the lists of names and peers and clears the cached lookups; the caller holds the mutex.
 func (r *Roster) index() {
 	clear(r.lookups)
+	r.ranked = false
 	r.names = map[string][]string{}
 	r.peers = nil
 	for name, h := range r.hosts {
--- /dev/null
+++ b/steer/share/account.go
@@ -0,0 +1,149 @@
+package share
+
+import (
+	"maps"
+
+	"ebonyrouter.dev/core"
+)
+
+const (
+	// spareFactor is the rate that a host gets in proportion to its demand while the quota suffices. The rest fills the pool,
+	// from which hosts that suddenly receive callers are served at once.
+	spareFactor = 1.2
+	// hostBurstPart is the part of the burst that hosts may keep; the rest stays in the pool.
+	hostBurstPart = 0.5
+)
+
+// account is the division of one customer's quota. At any instant the rates of all holdings and the rate at which the pool
+// fills add up to at most rate, and the bursts of all holdings and the content of the pool to at most burst.
+type account struct {
+	advanced core.Instant
+	// burst and rate are the quota: requests, and requests per second.
+	burst    float64
+	customer string
+	holdings map[holderKey]*holding
+	// knownBurst and knownRate are what hosts have reported as granted by an earlier coordinator. Only they are divided while
+	// unknown hosts may hold the rest.
+	knownBurst float64
+	knownRate  float64
+	// pool is the number of requests that may be granted at once.
+	pool float64
+	rate float64
+}
+
+// holding is what one process may hold. While it is unknown whether a reply arrived, it is the larger of both shares.
+type holding struct {
+	burst  float64
+	demand float64
+	rate   float64
+	until  core.Instant
+}
+
+// limits returns the rate and the burst that may be divided.
+func (a *account) limits(partial bool) (rate, burst float64) {
+	if partial {
+		return min(a.rate, a.knownRate), min(a.burst, a.knownBurst)
+	}
+	return a.rate, a.burst
+}
+
+// held returns the sums over all holdings except one.
+func (a *account) held(except *holding) (rate, burst, demand float64) {
+	for _, h := range a.holdings {
+		if h != except {
+			rate, burst, demand = rate+h.rate, burst+h.burst, demand+h.demand
+		}
+	}
+	return rate, burst, demand
+}
+
+// advance fills the pool with the rate that no host holds and removes the holdings that have ended. A holding that ended since
+// the last call counts as held until now.
+func (a *account) advance(now core.Instant, partial bool) {
+	limitRate, limitBurst := a.limits(partial)
+	rate, _, _ := a.held(nil)
+	a.pool += max(0, limitRate-rate) * seconds(now.Sub(a.advanced))
+	a.advanced = max(a.advanced, now)
+	maps.DeleteFunc(a.holdings, func(_ holderKey, h *holding) bool { return now.After(h.until) })
+	_, burst, _ := a.held(nil)
+	a.clipPool(limitBurst, burst)
+}
+
+// clipPool limits the pool to the burst that no host holds.
+func (a *account) clipPool(limit, held float64) {
+	a.pool = min(a.pool, max(0, limit-held))
+}
+
+// answer records what a host holds and returns its new share.
+func (a *account) answer(key holderKey, q core.QuotaDemand, now core.Instant, partial bool) core.QuotaShare {
+	h := a.record(key, q, partial)
+	share := core.QuotaShare{Customer: a.customer}
+	limitRate, limitBurst := a.limits(partial)
+	if q.Demand == 0 && q.Rate == 0 && q.Burst == 0 && q.Waiting == 0 {
+		delete(a.holdings, key)
+		_, burst, _ := a.held(nil)
+		a.clipPool(limitBurst, burst)
+		return share
+	}
+	h.demand, h.until = q.Demand, now.Add(holdTerm)
+	otherRate, otherBurst, otherDemand := a.held(h)
+	demand := otherDemand + h.demand
+	if demand > 0 {
+		share.Rate = min(min(spareFactor, limitRate/demand)*h.demand, max(0, limitRate-otherRate))
+	}
+	share.Burst = a.hostBurst(h.demand, demand, limitBurst, otherBurst)
+	if partial {
+		share.Burst = max(share.Burst, h.burst)
+	}
+	if share.Burst == 0 {
+		share.Rate = 0
+	}
+	share.Tokens = a.grantTokens(q, share.Burst)
+	share.Burst = max(share.Burst, min(h.burst, q.Level)+share.Tokens)
+	share.Exhausted = a.pool < 1 && q.Level+share.Tokens < float64(max(1, q.Waiting))
+	h.rate, h.burst = max(h.rate, share.Rate), max(h.burst, share.Burst)
+	a.clipPool(limitBurst, otherBurst+h.burst)
+	return share
+}
+
+// record returns the holding of a process, reduced to what it reports. A share that this coordinator does not know was granted
+// by an earlier one.
+func (a *account) record(key holderKey, q core.QuotaDemand, partial bool) *holding {
+	h := a.holdings[key]
+	if h != nil {
+		h.rate, h.burst = min(h.rate, q.Rate), min(h.burst, q.Burst)
+		return h
+	}
+	h = &holding{rate: q.Rate, burst: q.Burst}
+	a.holdings[key] = h
+	if partial {
+		a.knownRate, a.knownBurst = a.knownRate+q.Rate, a.knownBurst+q.Burst
+	}
+	return h
+}
+
+// hostBurst returns the burst of a host: half equally and half by demand. A burst below one request is useless; such a host
+// gets single requests from the pool.
+func (a *account) hostBurst(demand, total, limit, others float64) float64 {
+	budget := limit * hostBurstPart
+	part := budget / 2 / float64(len(a.holdings)+2)
+	if total > 0 {
+		part += budget / 2 * demand / total
+	}
+	part = min(max(1, part), budget-others)
+	if part < 1 {
+		return 0
+	}
+	return part
+}
+
+// grantTokens takes from the pool what fills half of the host's burst, or what its waiting requests need.
+func (a *account) grantTokens(q core.QuotaDemand, burst float64) float64 {
+	fill := 0.0
+	if burst >= 1 {
+		fill = min(max(1, burst/2)-q.Level, a.pool/2)
+	}
+	tokens := max(0, fill, min(float64(q.Waiting)-q.Level, a.pool))
+	a.pool -= tokens
+	return tokens
+}
