--- a/entry/quota/bound_test.go
+++ b/entry/quota/bound_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"flag"
+	"math/rand/v2"
 	"testing"
 	"time"
 
@@ -11,21 +12,21 @@
 )
 
 // playFault applies one random fault or ends one.
-func (s *sim) playFault(t *rapid.T) {
-	h := s.hosts[rapid.IntRange(0, len(s.hosts)-1).Draw(t, "host")]
-	if rapid.Bool().Draw(t, "leader") {
+func (s *sim) playFault(t *rapid.T, random *rand.Rand) {
+	h := s.hosts[between(random, 0, len(s.hosts)-1)]
+	if between(random, 0, 1) == 0 {
 		if leader := s.leader(); leader != nil {
 			h = leader
 		}
 	}
 	now := s.clock.Now()
-	switch fault := rapid.IntRange(0, 12).Draw(t, "fault"); fault {
+	switch fault := between(random, 0, 12); fault {
 	case 0:
 		h.dead = true
 	case 1:
 		s.start(h, false)
 	case 2:
-		h.pausedUntil = now.Add(time.Duration(rapid.IntRange(100, 15000).Draw(t, "ms")) * time.Millisecond)
+		h.pausedUntil = now.Add(time.Duration(between(random, 100, 15000)) * time.Millisecond)
 	case 3:
 		h.linkCut = !h.linkCut
 	case 4:
@@ -35,14 +36,14 @@
 	case 6:
 		s.store.loseNext = true
 	case 7:
-		s.store.delayNext = time.Duration(rapid.IntRange(100, 9000).Draw(t, "ms")) * time.Millisecond
+		s.store.delayNext = time.Duration(between(random, 100, 9000)) * time.Millisecond
 	case 8:
-		s.store.restore(rapid.IntRange(0, 6).Draw(t, "back"))
+		s.store.restore(between(random, 0, 6))
 	case 9:
-		s.store.slow = time.Duration(rapid.IntRange(0, 1).Draw(t, "slow")) * 240 * time.Millisecond
+		s.store.slow = time.Duration(between(random, 0, 1)) * 240 * time.Millisecond
 	case 10:
 		// Another write happens while a coordinator's own is on its way.
-		other := s.hosts[rapid.IntRange(0, len(s.hosts)-1).Draw(t, "other")]
+		other := s.hosts[between(random, 0, len(s.hosts)-1)]
 		if other != h {
 			h.view.beforeWrite = func() { _ = other.coordinator.Renew(t.Context()) }
 		}
@@ -67,9 +68,12 @@
 			Burst: rapid.SampledFrom([]float64{0, 10, 100}).Draw(t, "burst"),
 		}
 		s := newSim(rapid.Uint64().Draw(t, "seed"), rapid.IntRange(2, 5).Draw(t, "hosts"), customer)
-		for range rapid.IntRange(1, 12).Draw(t, "faults") {
-			busy := rapid.IntRange(0, 1<<len(s.hosts)-1).Draw(t, "busy")
-			s.run(time.Duration(rapid.IntRange(25, 9000).Draw(t, "span"))*time.Millisecond, func() {
+		// rapid prefers small values, which would make all spans short. It draws only the number of faults.
+		random := rand.New(rand.NewPCG(rapid.Uint64().Draw(t, "faults seed"), 2))
+		for range rapid.IntRange(1, 16).Draw(t, "faults") {
+			busy := between(random, 0, 1<<len(s.hosts)-1)
+			s.run(time.Duration(between(random, 25, 9000))*time.Millisecond, func() {
+				s.checkHeld(t)
 				for i, h := range s.hosts {
 					h.waiting = 0
 					if busy&(1<<i) != 0 && s.runs(h) {
@@ -77,12 +81,17 @@
 					}
 				}
 			})
-			s.playFault(t)
+			s.playFault(t, random)
 		}
 		s.checkWindows(t, promised(&customer))
 	})
 }
 
+// between returns a random number from lowest to highest.
+func between(random *rand.Rand, lowest, highest int) int {
+	return lowest + random.IntN(highest-lowest+1)
+}
+
 // useFixedSeed makes rapid repeat the same cases in each run.
 func useFixedSeed(t *testing.T) {
 	t.Helper()
--- a/entry/quota/sim_test.go
+++ b/entry/quota/sim_test.go
@@ -37,9 +37,7 @@
 	settings *core.Snapshot
 	store    *simStore
 	// taken holds the instants at which requests were taken, in order.
-	taken   []core.Instant
-	refused int
-	offered int
+	taken []core.Instant
 }
 
 // simHost is one host and its faults.
@@ -215,11 +213,6 @@
 	return verdict
 }
 
-// serve offers one request to a host and keeps it for up to 400 ms while the coordinator may have more.
-func (s *sim) serve(h *simHost) {
-	h.waiting++
-}
-
 // greedy lets a host take as many requests as it can, while more wait.
 func (s *sim) greedy(h *simHost) {
 	for range 1000 {
@@ -246,6 +239,22 @@
 	}
 }
 
+// checkHeld fails if the shares of all processes, paused ones included, add up to more than the quota.
+func (s *sim) checkHeld(t testingT) {
+	t.Helper()
+	rate, burst, now := 0.0, 0.0, s.clock.Now()
+	for _, h := range s.hosts {
+		if !h.dead {
+			r, b := h.shares.Held(s.customer.Name, now)
+			rate, burst = rate+r, burst+b
+		}
+	}
+	if limit := simBounds.Burst(s.customer); rate > s.customer.RequestsPerSecond+1e-6 || burst > limit+1e-6 {
+		t.Fatalf("shares of %.3f requests per second and a burst of %.3f at %v, want at most %v and %.3f",
+			rate, burst, time.Duration(now), s.customer.RequestsPerSecond, limit)
+	}
+}
+
 // promised returns the most requests of a customer in a window according to docs/design/quota.md, without the part of the bound
 // that is left unused.
 func promised(c *core.CustomerSettings) float64 {
@@ -265,6 +274,8 @@
 	loseNext  bool
 	delayNext time.Duration
 	slow      time.Duration
+	// nested means that a write happens during another one.
+	nested bool
 }
 
 // simWrite is a write whose response was lost and that is executed later, if its condition still holds.
@@ -326,9 +337,10 @@
 }
 
 func (v *simView) Write(_ context.Context, record core.QuotaRecord, revision int64) (int64, int64, error) {
-	if hook := v.beforeWrite; hook != nil {
-		v.beforeWrite = nil
+	if hook := v.beforeWrite; hook != nil && !v.nested {
+		v.beforeWrite, v.nested = nil, true
 		hook()
+		v.nested = false
 	}
 	if v.down || v.cut {
 		return 0, 0, core.ErrUnavailable
