--- a/entry/quota/calm_test.go
+++ b/entry/quota/calm_test.go
@@ -20,10 +20,10 @@
 func (q queues) serve(s *sim, h *simHost) (refused int) {
 	verdict := s.take(h)
 	h.shares.Count(s.customer.Name)
-	switch verdict {
-	case quota.Refused:
+	if verdict == quota.Refused {
 		return 1
-	case quota.Pending:
+	}
+	if verdict == quota.Pending {
 		q[h] = append(q[h], s.clock.Now().Add(simMaxWait))
 	}
 	h.waiting = len(q[h])
--- a/entry/quota/sim_test.go
+++ b/entry/quota/sim_test.go
@@ -86,12 +86,6 @@
 // Current implements core.SettingsSource.
 func (s *sim) Current() *core.Snapshot { return s.settings }
 
-// setQuota replaces the settings of the customer on all hosts.
-func (s *sim) setQuota(customer core.CustomerSettings) {
-	s.customer = &customer
-	s.settings = &core.Snapshot{Customers: core.NewCustomerPlan([]core.CustomerSettings{customer})}
-}
-
 // start starts a host as a new incarnation that holds nothing.
 func (s *sim) start(h *simHost, firstStart bool) {
 	h.incarnation++
--- a/steer/share/account.go
+++ b/steer/share/account.go
@@ -104,7 +104,11 @@
 	a.clipPool(limitBurst, otherBurst+h.burst)
 	demand := otherDemand + h.demand
 	if demand > 0 {
-		share.Rate = min(min(spareFactor, hostRatePart*limitRate/demand)*h.demand, max(0, limitRate-otherRate))
+		part := hostRatePart
+		if partial {
+			part = 1
+		}
+		share.Rate = min(min(spareFactor, part*limitRate/demand)*h.demand, max(0, limitRate-otherRate))
 	}
 	share.Burst = a.hostBurst(h.demand, demand, limitBurst, otherBurst)
 	if partial {
