--- a/steer/share/share_test.go
+++ b/steer/share/share_test.go
@@ -318,3 +318,14 @@
 	b.Prune(core.Instant(30 * time.Second))
 	assert.Equal(t, b.Customers(), 0)
 }
+
+// TestPoolOfSuccessorStartsEmpty guards against a burst that is handed out a second time after a takeover: the customers that nobody
+// asked for during the wait have used theirs up to its end.
+func TestPoolOfSuccessorStartsEmpty(t *testing.T) {
+	openAt := core.Instant(time.Minute)
+	b := share.NewBook(bounds, openAt)
+	lookup := func(string) (*core.CustomerSettings, bool) { return &customer, true }
+	ask := core.QuotaAsk{Host: "h", Incarnation: "i", Number: 1, Customers: []core.QuotaDemand{{Customer: "c", Demand: 10, Waiting: 30}}}
+	shares, _ := b.Answer(ask, lookup, openAt.Add(100*time.Millisecond))
+	assert.Assert(t, shares[0].Tokens <= 2, "%v", shares)
+}
