Test replies, given back requests, idle customers and a late write after a restore

Change: tests of the host's shares and of the token after a restore; 600 instead of 150 cases of random faults.

--- a/entry/quota/bound_test.go
+++ b/entry/quota/bound_test.go
@@ -96,7 +96,7 @@
 // useFixedSeed makes rapid repeat the same cases in each run.
 func useFixedSeed(t *testing.T) {
 	t.Helper()
-	for name, value := range map[string]string{"rapid.seed": "20261206", "rapid.checks": "150", "rapid.nofailfile": "true"} {
+	for name, value := range map[string]string{"rapid.seed": "20261206", "rapid.checks": "600", "rapid.nofailfile": "true"} {
 		if f := flag.Lookup(name); f != nil && f.Value.String() == f.DefValue {
 			_ = flag.Set(name, value)
 		}
--- a/entry/quota/calm_test.go
+++ b/entry/quota/calm_test.go
@@ -116,3 +116,42 @@
 		})
 	}
 }
+
+// TestFlood guards against a quota that is used only in part while a customer sends 7.5 times its usual rate, from all hosts or from
+// one, and against a customer that is still refused when it sends its usual rate again.
+func TestFlood(t *testing.T) {
+	cases := map[string]func(h *simHost) float64{
+		"all hosts": func(*simHost) float64 { return 1.0 / 6 },
+		"one host": func(h *simHost) float64 {
+			if h.index == 5 {
+				return 1
+			}
+			return 0
+		},
+	}
+	for name, weights := range cases {
+		t.Run(name, func(t *testing.T) {
+			s := newSim(1, 6, core.CustomerSettings{Name: "c", RequestsPerSecond: 32, Burst: 20})
+			q := queues{}
+			q.play(s, 5*time.Second, 20, weights)
+			begin := len(s.taken)
+			for end := s.clock.Now().Add(6 * time.Second); s.clock.Now().Before(end); {
+				// Every request is offered, also those over the quota.
+				s.run(simStep, func() {
+					for _, h := range s.hosts {
+						q.retry(s, h)
+						mean := 150 * weights(h) * simStep.Seconds()
+						for at := s.random.ExpFloat64(); at < mean; at += s.random.ExpFloat64() {
+							q.serve(s, h)
+						}
+					}
+				})
+			}
+			assert.Assert(t, float64(len(s.taken)-begin) > 0.9*32*6, "%d requests in 6 s", len(s.taken)-begin)
+			s.checkWindows(t, promised(s.customer))
+			q.play(s, 2*time.Second, 20, weights)
+			refused, offered := q.play(s, 10*time.Second, 20, weights)
+			assert.Equal(t, refused, 0, "of %d", offered)
+		})
+	}
+}
--- a/steer/share/share_test.go
+++ b/steer/share/share_test.go
@@ -329,3 +329,20 @@
 	shares, _ := b.Answer(ask, lookup, openAt.Add(100*time.Millisecond))
 	assert.Assert(t, shares[0].Tokens <= 2, "%v", shares)
 }
+
+// TestLateWriteAfterRestore guards against a repeated token after a late write of the old era has overwritten the first record of the
+// new era, which the next elector has never seen.
+func TestLateWriteAfterRestore(t *testing.T) {
+	f := newFixture(true)
+	find(t, f.a)
+	older := f.store.current
+	assert.NilError(t, f.a.Renew(t.Context()))
+	f.store.err = core.ErrUnavailable
+	assert.ErrorIs(t, f.a.Renew(t.Context()), core.ErrUnavailable)
+	f.store.current, f.store.era = older, 2
+	first := f.observe(t, f.b).Token
+	f.store.late()
+	assert.Equal(t, f.store.current.Record.Host, "a")
+	second := f.observe(t, f.start("b", "i2", false)).Token
+	assert.Assert(t, first.Less(second), "%v after %v", second, first)
+}
