--- a/core/quota_exchange.go
+++ b/core/quota_exchange.go
@@ -6,8 +6,8 @@
 	"github.com/juju/errors"
 )
 
-// maxQuotaCustomers bounds the customers of one ask or reply, which must fit in a frame.
-const maxQuotaCustomers = 4096
+// MaxQuotaCustomers bounds the customers of one ask or reply, which must fit in a frame.
+const MaxQuotaCustomers = 4096
 
 // QuotaAsk reports the shares that a host holds and the demand of its customers' requests. Number increases with each ask of
 // an incarnation; the host uses only the reply to its latest ask. Token is the highest that the host knows.
@@ -69,7 +69,7 @@
 	if a.Host == "" || a.Incarnation == "" || a.Number <= 0 {
 		return errors.NotValidf("ask %d of host %q with incarnation %q", a.Number, a.Host, a.Incarnation)
 	}
-	if len(a.Customers) > maxQuotaCustomers {
+	if len(a.Customers) > MaxQuotaCustomers {
 		return errors.NotValidf("%d customers", len(a.Customers))
 	}
 	for i, c := range a.Customers {
@@ -82,7 +82,7 @@
 
 // Validate implements Validator.Validate.
 func (r QuotaReply) Validate() error {
-	if len(r.Shares) > maxQuotaCustomers {
+	if len(r.Shares) > MaxQuotaCustomers {
 		return errors.NotValidf("%d shares", len(r.Shares))
 	}
 	for i, s := range r.Shares {
--- a/entry/quota/shares.go
+++ b/entry/quota/shares.go
@@ -135,6 +135,10 @@
 		if urgent && !c.short() {
 			continue
 		}
+		if len(ask.Customers) >= core.MaxQuotaCustomers {
+			// The order of a map is random, so that the others are in one of the next asks before their leases end.
+			break
+		}
 		c.measure(now)
 		switch idle := now.Sub(c.usedAt) >= idleTerm && c.waiting == 0; {
 		case idle && c.released:
--- a/entry/quota/shares_test.go
+++ b/entry/quota/shares_test.go
@@ -1,6 +1,7 @@
 package quota_test
 
 import (
+	"fmt"
 	"testing"
 	"time"
 
@@ -111,3 +112,21 @@
 	}
 	assert.Equal(t, s.Len(), 0)
 }
+
+// TestAskFitsInFrame guards against a host with very many active customers that gets no shares at all, because its ask is invalid.
+func TestAskFitsInFrame(t *testing.T) {
+	now := core.Instant(time.Hour)
+	s := quota.NewShares("h", "i", simBounds, now)
+	for i := range 10000 {
+		s.Take(&core.CustomerSettings{Name: fmt.Sprintf("customer-%d", i), RequestsPerSecond: 1}, -1, 1, now)
+	}
+	asked := map[string]bool{}
+	for range 16 {
+		ask, _ := s.Ask(false, now)
+		assert.NilError(t, ask.Validate())
+		for _, c := range ask.Customers {
+			asked[c.Customer] = true
+		}
+	}
+	assert.Assert(t, len(asked) > 9900, "%d", len(asked))
+}
--- a/steer/share/share_test.go
+++ b/steer/share/share_test.go
@@ -97,7 +97,9 @@
 
 // Current implements core.SettingsSource.
 func (f *fixture) Current() *core.Snapshot {
-	return &core.Snapshot{Customers: core.NewCustomerPlan([]core.CustomerSettings{f.quota})}
+	second := f.quota
+	second.Name = "d"
+	return &core.Snapshot{Customers: core.NewCustomerPlan([]core.CustomerSettings{f.quota, second})}
 }
 
 // ask asks a coordinator for a host that holds the given share and has the given demand.
@@ -168,7 +170,11 @@
 	f.clock.Advance(2 * time.Millisecond)
 	other = granted(t, f.ask(t, f.b, "other", other, 5))
 	assert.Assert(t, other.Rate > 1, "%v", other)
-	assert.Assert(t, other.Tokens < 4, "a pool that began full: %v", other)
+	reply, err := f.b.Answer(t.Context(), core.QuotaAsk{
+		Host: "third", Incarnation: "i", Number: 1, Customers: []core.QuotaDemand{{Customer: "d", Waiting: 30}},
+	})
+	assert.NilError(t, err)
+	assert.Assert(t, granted(t, reply).Tokens < 1, "a pool that began full: %v", reply)
 	assert.Assert(t, !f.ask(t, f.a, "h", held, 15).Coordinating, "the predecessor grants after it was replaced")
 }
 
