Keep serving customers with few requests while no coordinator answers

Change: hosts hold 1.5 times their demand, give back only after an answered ask, and average the demand of few requests for longer. One renewal at a time for asks that find the coordinator's lease ended.

--- a/entry/quota/customer.go
+++ b/entry/quota/customer.go
@@ -8,9 +8,11 @@
 )
 
 const (
-	// demandTerm is the time in which the measured demand follows a change. A faster rise than fall overstates the demand of
-	// hosts with few requests, by half at one request per second.
-	demandTerm = 1500 * time.Millisecond
+	// averagedRequests is the number of requests over which the demand is averaged, within minDemandTerm and maxDemandTerm. With
+	// fewer, the shares of hosts with few requests depend on chance. A faster rise than fall would overstate their demand.
+	averagedRequests = 5
+	minDemandTerm    = 1500 * time.Millisecond
+	maxDemandTerm    = 6 * time.Second
 	// firstMeasured is the span of the first measurement of a customer.
 	firstMeasured = time.Second
 	// minMeasured is the shortest span of a measurement.
@@ -91,6 +93,8 @@
 	if span < minMeasured {
 		return
 	}
-	c.demand += (c.arrived/span.Seconds() - c.demand) * (1 - math.Exp(-span.Seconds()/demandTerm.Seconds()))
+	measured := c.arrived / span.Seconds()
+	term := min(maxDemandTerm.Seconds(), max(minDemandTerm.Seconds(), averagedRequests/max(c.demand, (c.demand+measured)/2, 1e-3)))
+	c.demand += (measured - c.demand) * (1 - math.Exp(-span.Seconds()/term))
 	c.demandAt, c.arrived = now, 0
 }
--- a/entry/quota/shares.go
+++ b/entry/quota/shares.go
@@ -37,6 +37,8 @@
 
 // Shares holds the shares of one process. It has no clock and is not safe for concurrent use.
 type Shares struct {
+	// answered means that the latest ask was answered.
+	answered    bool
 	bounds      core.QuotaBounds
 	customers   map[string]*customer
 	host        string
@@ -127,6 +129,9 @@
 // Ask returns what to ask of the coordinator, or false if there is nothing. An urgent ask is only for customers that are short;
 // any other also gives back the shares that are not needed any more.
 func (s *Shares) Ask(urgent bool, now core.Instant) (core.QuotaAsk, bool) {
+	// While the coordinator does not answer, what would be given back is lost to all hosts.
+	answered := s.answered
+	s.answered = false
 	s.number++
 	s.askedAt = now
 	ask := core.QuotaAsk{Host: s.host, Incarnation: s.incarnation, Number: s.number, Token: s.token}
@@ -152,8 +157,11 @@
 			c.demand = 0
 		}
 		c.released = c.demand == 0 && c.waiting == 0
-		c.rate = min(c.rate, releaseFactor*c.demand+releaseRate)
-		returned := c.giveBack()
+		returned := 0.0
+		if answered {
+			c.rate = min(c.rate, releaseFactor*c.demand+releaseRate)
+			returned = c.giveBack()
+		}
 		ask.Customers = append(ask.Customers, core.QuotaDemand{
 			Burst: c.burst, Customer: name, Demand: c.demand, Level: c.level, Rate: c.rate, Returned: returned, Waiting: c.waiting,
 		})
@@ -184,6 +192,7 @@
 		return nil, false
 	}
 	s.token = reply.Token
+	s.answered = true
 	until := s.askedAt.Add(core.QuotaLease)
 	if !now.Before(until) {
 		return nil, false
--- a/steer/share/account.go
+++ b/steer/share/account.go
@@ -10,21 +10,23 @@
 const (
 	// spareFactor is the rate that a host gets in proportion to its demand while the quota suffices. The rest fills the pool,
 	// from which hosts that suddenly receive callers are served at once.
-	spareFactor = 1.1
+	spareFactor = 1.5
 	// hostRatePart is the largest part of the rate that hosts get. The rest fills the pool also when the demand exceeds the quota.
 	hostRatePart = 0.85
 	// exhaustedPart is the part of the quota above which an empty pool means that waiting is useless. Below it, the pool fills soon.
 	exhaustedPart = 0.95
 	// hostBurstPart is the part of the burst that hosts may keep; the rest stays in the pool.
-	hostBurstPart = 0.4
+	hostBurstPart = 0.6
 	// maxRatePerBurst is the largest rate per request of burst beside the one that is kept. What accrues with higher ones between
 	// two asks of a host does not fit in its burst, and is lost instead of given back.
 	maxRatePerBurst = 5.5
 	// minHostBurst is the burst of a host with few requests, of which one is kept and what exceeds it is given back.
 	minHostBurst = 2.0
-	// minRateDemand is the demand of a host, in requests per second, below which it gets no rate. What accrues there would lie idle
-	// while other hosts are short.
-	minRateDemand = 1
+	// leastHostBurst is the smallest burst that is worth holding. A host without one takes single requests from the pool.
+	leastHostBurst = 1.25
+	// leastHostDemand is the demand, in requests per second, below which a host holds nothing. Its unused requests would be missing
+	// elsewhere.
+	leastHostDemand = 0.3
 )
 
 // account is the division of one customer's quota. At any instant the rates of all holdings and the rate at which the pool
@@ -147,12 +149,8 @@
 	if total > 0 {
 		part += budget / 2 * demand / total
 	}
-	least := minHostBurst
-	if demand < minRateDemand {
-		part, least = 1, 1
-	}
-	part = min(max(least, part), budget-others)
-	if part < 1 {
+	part = min(max(minHostBurst, part), budget-others)
+	if demand < leastHostDemand || part < leastHostBurst {
 		return 0
 	}
 	return part
--- a/steer/share/coordinator.go
+++ b/steer/share/coordinator.go
@@ -25,15 +25,17 @@
 	// customers is the number of customers of which the book keeps something, for metrics.
 	customers atomic.Int64
 	lastAsk   atomic.Int64
-	settings  core.SettingsSource
-	wake      chan struct{}
+	// renewing permits one renewal at a time for asks.
+	renewing chan struct{}
+	settings core.SettingsSource
+	wake     chan struct{}
 }
 
 var _ core.QuotaCoordinator = (*Coordinator)(nil)
 
 // NewCoordinator returns a coordinator that divides the quotas of the settings in force.
 func NewCoordinator(elector *Elector, settings core.SettingsSource) *Coordinator {
-	return &Coordinator{Elector: elector, settings: settings, wake: make(chan struct{}, 1)}
+	return &Coordinator{Elector: elector, renewing: make(chan struct{}, 1), settings: settings, wake: make(chan struct{}, 1)}
 }
 
 // Answer implements core.QuotaCoordinator.Answer. If the lease of this process has ended and nobody else was elected, it first
@@ -45,10 +47,10 @@
 	c.lastAsk.Store(int64(c.timer.Now()))
 	reply, leading := c.answer(ask, c.find)
 	if !leading && c.elected() {
-		if err := c.Renew(ctx); err != nil {
+		var err error
+		if reply, leading, err = c.renewAndAnswer(ctx, ask); err != nil {
 			return reply, errors.Trace(err)
 		}
-		reply, leading = c.answer(ask, c.find)
 	}
 	if leading {
 		select {
@@ -59,6 +61,24 @@
 	return reply, nil
 }
 
+// renewAndAnswer renews the lease, unless another ask has done so meanwhile, and answers.
+func (c *Coordinator) renewAndAnswer(ctx context.Context, ask core.QuotaAsk) (reply core.QuotaReply, leading bool, err error) {
+	select {
+	case c.renewing <- struct{}{}:
+	case <-ctx.Done():
+		return reply, false, errors.WithType(ctx.Err(), core.ErrUnavailable)
+	}
+	defer func() { <-c.renewing }()
+	if reply, leading = c.answer(ask, c.find); leading {
+		return reply, true, nil
+	}
+	if err = c.Renew(ctx); err != nil {
+		return reply, false, err
+	}
+	reply, leading = c.answer(ask, c.find)
+	return reply, leading, nil
+}
+
 // Customers returns the number of customers of which this process keeps shares, or 0 if it does not coordinate.
 func (c *Coordinator) Customers() int64 {
 	return c.customers.Load()
--- a/steer/share/share_test.go
+++ b/steer/share/share_test.go
@@ -289,6 +289,7 @@
 		return total
 	}
 	renew()
+	renew()
 	assert.Assert(t, renew() > 15)
 	f.quota.RequestsPerSecond = 4
 	renew()
