Create the quota parts in the product's own entry process

Cause: settings of the product have customers with quotas as well. Change: ObjectStore keeps the coordinator's record in the product's store; newQuotas creates and runs the parts. The proxy does not ask them yet.

--- a/core/store.go
+++ b/core/store.go
@@ -54,4 +54,6 @@
 	KeyHostsPrefix     = "hosts/"
 	KeyOwnershipPrefix = "ownership/"
 	KeyDedupPrefix     = "dedup/"
+	// KeyQuotaCoordinator holds the QuotaRecord of the coordinator of customers' quotas.
+	KeyQuotaCoordinator = "quota/coordinator"
 )
--- a/entry/process.go
+++ b/entry/process.go
@@ -29,8 +29,10 @@
 	"ebonyrouter.dev/entry/limit"
 	"ebonyrouter.dev/entry/lookup"
 	"ebonyrouter.dev/entry/proxy"
+	"ebonyrouter.dev/entry/quota"
 	"ebonyrouter.dev/entry/retry"
 	"ebonyrouter.dev/entry/route"
+	"ebonyrouter.dev/steer/share"
 )
 
 const (
@@ -64,13 +66,16 @@
 	meter          *meter.Meter
 	options        options
 	proxy          *proxy.Proxy
-	relayServer    *http.Server
-	relayListener  net.Listener
-	router         *route.Router
-	settings       *config.Holder
-	state          atomic.Value
-	timer          core.Timer
-	dedupForwarder *dedup.Forwarder
+	// quotas is the value for proxy.Config.Quotas; without customers with a quota it does nothing.
+	quotas           *quota.Limiter
+	quotaCoordinator *share.Coordinator
+	relayServer      *http.Server
+	relayListener    net.Listener
+	router           *route.Router
+	settings         *config.Holder
+	state            atomic.Value
+	timer            core.Timer
+	dedupForwarder   *dedup.Forwarder
 }
 
 // newProcess creates the components of a process and binds its addresses; serve runs it.
@@ -158,6 +163,7 @@
 		Region: *p.options.Region, Settings: p.settings, Timer: p.timer,
 	})
 	p.exportDedupMetrics()
+	p.newQuotas(client)
 	p.proxy = proxy.New(proxy.Config{
 		Admitter: p.limiter,
 		Budget:   retry.New(p.settings, p.timer, *p.options.Zone),
@@ -176,6 +182,23 @@
 	p.gate = &gate{next: p.callerHandler()}
 }
 
+// quotaBounds bounds the requests of a customer over its quota: a tenth and 20 requests in any 5 s.
+var quotaBounds = core.QuotaBounds{Over: 0.1, Slack: 20, Window: 5 * time.Second}
+
+// newQuotas creates the limiter of customers' quotas and the coordinator that divides them.
+func (p *process) newQuotas(client core.Store) {
+	self := p.registration()
+	elector := share.NewElector(self, share.NewObjectStore(client), quotaBounds, false, p.timer, p.log)
+	p.quotaCoordinator = share.NewCoordinator(elector, p.settings)
+	p.links.HandleRequest(core.TopicQuota, p.quotaCoordinator.HandleRequest)
+	p.quotas = quota.NewLimiter(quota.Config{
+		Bounds: quotaBounds, Coordinator: p.quotaCoordinator, Links: p.sharedLinks.User(), Log: p.log, Self: self, Timer: p.timer,
+		OnRefuse: func(customer string) { p.meter.CountCustomer("ebony_quota_refused_total", customer) },
+		// The order of all hosts is not known here, so that no request is served without a share.
+		Rank: func() (int, int) { return -1, 1 },
+	})
+}
+
 // newServers binds all addresses, so that a port in use is reported before any task starts.
 func (p *process) newServers() error {
 	var err error
@@ -254,6 +277,8 @@
 	group.Go(func() { p.watchReady(ctx) })
 	group.Go(func() { p.lookup.Run(ctx, p.timer) })
 	group.Go(func() { p.loader.Run(ctx, p.timer) })
+	group.Go(func() { p.quotas.Run(ctx) })
+	group.Go(func() { p.quotaCoordinator.Run(ctx) })
 	group.Go(func() { failures <- p.messages.Run(ctx) })
 	group.Go(func() { failures <- p.admin.Run(ctx) })
 	group.Go(func() { failures <- serveHTTP(p.callerServer, p.callerListener) })
