Apply a lower quota to shares also while no coordinator answers

Cause: shares of an earlier, larger quota stayed in use for up to 8 s after the settings had changed on all hosts. Change: a share states the quota of which it is a part, and a host with a lower quota reduces it in proportion. Measured: TestLowerQuotaWithoutCoordinator; go test ./entry/quota ./steer/share ./core passes.

--- a/core/quota_exchange.go
+++ b/core/quota_exchange.go
@@ -62,6 +62,8 @@
 	Rate      float64 `msgpack:"rate"`
 	// Tokens is the number of requests that the host may take at once, in addition to the rate. They are granted only once.
 	Tokens float64 `msgpack:"tokens"`
+	// Total is the quota that was divided, in requests per second. A host that knows a lower one reduces its share accordingly.
+	Total float64 `msgpack:"total"`
 }
 
 // Validate implements Validator.Validate.
@@ -86,7 +88,7 @@
 		return errors.NotValidf("%d shares", len(r.Shares))
 	}
 	for i, s := range r.Shares {
-		if s.Customer == "" || !areAmounts(s.Burst, s.Rate, s.Tokens) {
+		if s.Customer == "" || !areAmounts(s.Burst, s.Rate, s.Tokens, s.Total) {
 			return errors.NotValidf("shares[%d]: %v", i, s)
 		}
 	}
--- a/entry/quota/customer.go
+++ b/entry/quota/customer.go
@@ -45,9 +45,11 @@
 	// released means that the share was given back.
 	released bool
 	settings *core.CustomerSettings
-	until    core.Instant
-	usedAt   core.Instant
-	waiting  int
+	// total is the quota of which rate is a part, in requests per second.
+	total   float64
+	until   core.Instant
+	usedAt  core.Instant
+	waiting int
 }
 
 // refill adds what has accrued since the last call. A share whose lease has ended is lost with its unused part.
@@ -63,7 +65,7 @@
 		c.drop()
 		return
 	}
-	c.level = min(c.level+min(c.rate, c.settings.RequestsPerSecond)*elapsed, c.burst)
+	c.level = min(c.level+c.rate*elapsed, c.burst)
 }
 
 // short reports whether requests wait, or there is no share or its unused part is low and the coordinator had something left.
@@ -78,6 +80,17 @@
 	c.burst, c.level, c.rate = 0, 0, 0
 }
 
+// follow reduces the share if the settings of this host have a lower quota than the one that was divided. If all hosts do so, their
+// shares stay within the lower quota also while the coordinator does not answer.
+func (c *customer) follow() {
+	if c.settings.RequestsPerSecond >= c.total {
+		return
+	}
+	part := c.settings.RequestsPerSecond / c.total
+	c.rate, c.burst, c.total = c.rate*part, c.burst*part, c.settings.RequestsPerSecond
+	c.level = min(c.level, c.burst)
+}
+
 // giveBack reduces the unused part and the burst by what other hosts may need more, and returns it. The burst shrinks as well,
 // because the unused part could otherwise grow again while the returned one is used elsewhere.
 func (c *customer) giveBack() float64 {
--- a/entry/quota/shares.go
+++ b/entry/quota/shares.go
@@ -75,6 +75,7 @@
 	c.settings, c.usedAt = settings, now
 	c.fallbackRate, c.fallbackBurst = s.bounds.Fallback(settings, rank, hosts)
 	c.refill(now, s.started)
+	c.follow()
 	switch {
 	case c.level >= 1-roundingError:
 		c.level = max(0, c.level-1)
@@ -183,7 +184,7 @@
 		return fmt.Sprintf("no share, election %d/%d", s.token.Era, s.token.Number)
 	}
 	return fmt.Sprintf("share of %.3g/s of %.3g/s, burst %.3g, level %.2f, demand %.3g/s, granted %.2f s ago by election %d/%d",
-		c.rate, c.settings.RequestsPerSecond, c.burst, c.level, c.demand, now.Sub(c.grantedAt).Seconds(), s.token.Era, s.token.Number)
+		c.rate, c.total, c.burst, c.level, c.demand, now.Sub(c.grantedAt).Seconds(), s.token.Era, s.token.Number)
 }
 
 // Adopt replaces the shares by those of the reply to the latest ask. Their leases count from before the ask.
@@ -206,8 +207,9 @@
 		if old := c.rate; share.Rate > old*5/4 || share.Rate < old*3/4 {
 			changes = append(changes, Change{Customer: share.Customer, Old: old, New: share.Rate})
 		}
-		c.rate, c.burst, c.until = share.Rate, share.Burst, until
+		c.rate, c.burst, c.total, c.until = share.Rate, share.Burst, share.Total, until
 		c.level = min(c.level+share.Tokens, c.burst)
+		c.follow()
 		c.grantedAt = now
 		if share.Exhausted {
 			c.exhaustedUntil = now.Add(exhaustedTerm)
--- a/entry/quota/shares_test.go
+++ b/entry/quota/shares_test.go
@@ -21,7 +21,7 @@
 	ask, _ := s.Ask(false, now)
 	return s, core.QuotaReply{
 		Coordinating: true, Number: ask.Number, Token: core.QuotaToken{Era: 1, Number: 5},
-		Shares: []core.QuotaShare{{Customer: "c", Rate: 4, Burst: 6, Tokens: 2}},
+		Shares: []core.QuotaShare{{Customer: "c", Rate: 4, Burst: 6, Tokens: 2, Total: 20}},
 	}
 }
 
@@ -130,3 +130,20 @@
 	}
 	assert.Assert(t, len(asked) > 9900, "%d", len(asked))
 }
+
+// TestLowerQuotaWithoutCoordinator guards against shares of the earlier quota that stay in use until their leases end, while the
+// coordinator does not answer.
+func TestLowerQuotaWithoutCoordinator(t *testing.T) {
+	now := core.Instant(time.Hour)
+	s, reply := askOnce(now)
+	s.Adopt(reply, now)
+	lower := tested
+	lower.RequestsPerSecond = 5
+	s.Take(&lower, -1, 1, now)
+	rate, burst := s.Held("c", now)
+	assert.Equal(t, rate, 1.0)
+	assert.Equal(t, burst, 1.5)
+	s.Take(&tested, -1, 1, now)
+	rate, _ = s.Held("c", now)
+	assert.Equal(t, rate, 1.0, "a higher quota applies with the next share")
+}
--- a/steer/share/account.go
+++ b/steer/share/account.go
@@ -92,7 +92,7 @@
 // answer records what a host holds and returns its new share.
 func (a *account) answer(key holderKey, q core.QuotaDemand, now core.Instant, partial bool) core.QuotaShare {
 	h := a.record(key, q, partial)
-	share := core.QuotaShare{Customer: a.customer}
+	share := core.QuotaShare{Customer: a.customer, Total: a.rate}
 	limitRate, limitBurst := a.limits(partial)
 	if q.Demand == 0 && q.Rate == 0 && q.Burst == 0 && q.Waiting == 0 {
 		delete(a.holdings, key)
