--- a/steer/share/share_test.go
+++ b/steer/share/share_test.go
@@ -353,3 +353,28 @@
 	second := f.observe(t, f.start("b", "i2", false)).Token
 	assert.Assert(t, first.Less(second), "%v after %v", second, first)
 }
+
+// TestFullPoolOnlyOnce guards against a pool that begins full a second time, while shares of the first coordinator may be in use: after
+// the record was deleted, or after the store has come back as a copy from before the record.
+func TestFullPoolOnlyOnce(t *testing.T) {
+	cases := map[string]func(f *fixture) *share.Coordinator{
+		"record deleted": func(f *fixture) *share.Coordinator { return f.a },
+		"restored from before the record, elector has never read": func(f *fixture) *share.Coordinator {
+			f.store.era = 2
+			return f.b
+		},
+	}
+	for name, lose := range cases {
+		t.Run(name, func(t *testing.T) {
+			f := newFixture(true)
+			find(t, f.a)
+			granted(t, f.ask(t, f.a, "h", core.QuotaShare{}, 10))
+			f.clock.Advance(5 * time.Second)
+			f.store.current = core.QuotaRead{}
+			successor := lose(f)
+			find(t, successor)
+			s := granted(t, f.ask(t, successor, "new", core.QuotaShare{}, 10))
+			assert.Equal(t, s.Rate+s.Tokens, 0.0)
+		})
+	}
+}
