--- a/core/quota_record.go
+++ b/core/quota_record.go
@@ -8,6 +8,9 @@
 
 // QuotaRecord names the process that divides the quotas.
 type QuotaRecord struct {
+	// Holders names the processes that may hold shares, as host/incarnation and separated by commas. A process gets its first share
+	// after the record that names it was written, so that a successor knows for whose shares it has to wait.
+	Holders     string     `json:"holders"`
 	Host        string     `json:"host"`
 	Incarnation string     `json:"incarnation"`
 	LinkAddress string     `json:"link_address"`
--- a/steer/share/book.go
+++ b/steer/share/book.go
@@ -1,6 +1,7 @@
 package share
 
 import (
+	"maps"
 	"time"
 
 	"ebonyrouter.dev/core"
@@ -20,8 +21,16 @@
 	// openAt is the instant at which all shares of earlier coordinators have ended. Before it, the book divides only what hosts
 	// have reported as held.
 	openAt core.Instant
+	// inherited holds the processes that may hold shares of earlier coordinators, and replacedAt the first ask of another process
+	// of the same host.
+	inherited  map[holderKey]bool
+	replacedAt map[holderKey]core.Instant
 }
 
+// replacedTerm is the time between two asks of a process that shows that it runs. A single ask may have waited in a buffer since before
+// the process that it would replace was started.
+const replacedTerm = 300 * time.Millisecond
+
 // holderKey identifies a process. A host that restarts gets another incarnation and holds nothing.
 type holderKey struct {
 	host        string
@@ -37,9 +46,15 @@
 // FindCustomer returns the settings of a customer, or false if it has none.
 type FindCustomer func(name string) (*core.CustomerSettings, bool)
 
-// NewBook returns a book that waits for the end of earlier shares until openAt.
+// unknownHolder stands for processes that nobody can name, so that nobody replaces them.
+var unknownHolder = holderKey{}
+
+// NewBook returns a book that waits for the end of the shares of unknown processes until openAt.
 func NewBook(bounds core.QuotaBounds, openAt core.Instant) *Book {
-	return &Book{accounts: map[string]*account{}, bounds: bounds, numbers: map[holderKey]lastAsk{}, openAt: openAt}
+	return &Book{
+		accounts: map[string]*account{}, bounds: bounds, inherited: map[holderKey]bool{unknownHolder: true}, numbers: map[holderKey]lastAsk{},
+		openAt: openAt, replacedAt: map[holderKey]core.Instant{},
+	}
 }
 
 // NewFirstBook returns the book of the first coordinator of a deployment. Its bursts are unused.
@@ -57,6 +72,7 @@
 		return nil, false
 	}
 	b.numbers[key] = lastAsk{ask.Number, now.Add(holdTerm)}
+	b.noteReplaced(key, now)
 	shares := make([]core.QuotaShare, 0, len(ask.Customers))
 	for _, demand := range ask.Customers {
 		customer, found := find(demand.Customer)
@@ -69,6 +85,43 @@
 	return shares, true
 }
 
+// noteReplaced removes the processes from the inherited ones that the asking process has replaced. Without any, the book need not wait.
+func (b *Book) noteReplaced(asking holderKey, now core.Instant) {
+	if !now.Before(b.openAt) {
+		return
+	}
+	for key := range b.inherited {
+		if key.host != asking.host || key.incarnation == asking.incarnation {
+			continue
+		}
+		first, found := b.replacedAt[asking]
+		if !found {
+			b.replacedAt[asking] = now
+			continue
+		}
+		if now.Sub(first) >= replacedTerm {
+			delete(b.inherited, key)
+		}
+	}
+	if len(b.inherited) == 0 {
+		b.openAt = now
+	}
+}
+
+// holders returns the processes that may hold shares at now, of this book or of earlier coordinators.
+func (b *Book) holders(now core.Instant) map[holderKey]bool {
+	all := map[holderKey]bool{}
+	for key, last := range b.numbers {
+		if now.Before(last.until) {
+			all[key] = true
+		}
+	}
+	if now.Before(b.openAt) {
+		maps.Copy(all, b.inherited)
+	}
+	return all
+}
+
 // Prune removes what no host holds any more, so that memory follows the active customers.
 func (b *Book) Prune(now core.Instant) {
 	for key, last := range b.numbers {
--- a/steer/share/coordinator.go
+++ b/steer/share/coordinator.go
@@ -46,6 +46,11 @@
 	}
 	c.lastAsk.Store(int64(c.timer.Now()))
 	reply, leading := c.answer(ask, c.find)
+	if !leading && !c.elected() {
+		if err := c.succeed(ctx); err != nil {
+			return reply, errors.Trace(err)
+		}
+	}
 	if !leading && c.elected() {
 		var err error
 		if reply, leading, err = c.renewAndAnswer(ctx, ask); err != nil {
--- a/steer/share/elector.go
+++ b/steer/share/elector.go
@@ -48,6 +48,11 @@
 	foundOther bool
 	// highest is the highest token that this process knows.
 	highest core.QuotaToken
+	// recorded holds the processes that the last confirmed record names as holders, and pending those that the next one adds.
+	recorded map[holderKey]bool
+	pending  map[holderKey]bool
+	// inherited holds the holders of earlier coordinators during a takeover.
+	inherited map[holderKey]bool
 	// led means that this process has granted shares before.
 	led bool
 }
@@ -55,7 +60,7 @@
 // NewElector returns an elector for a process with the given host, incarnation and link address.
 func NewElector(self core.Host, store core.QuotaStore, bounds core.QuotaBounds, firstStart bool, timer core.Timer, log *zap.Logger) *Elector {
 	return &Elector{
-		bounds: bounds, calls: make(chan struct{}, 1), firstStart: firstStart, log: log, store: store, timer: timer,
+		bounds: bounds, calls: make(chan struct{}, 1), firstStart: firstStart, log: log, pending: map[holderKey]bool{}, store: store, timer: timer,
 		self: core.QuotaRecord{Host: self.Host, Incarnation: self.Incarnation, LinkAddress: self.LinkAddress},
 	}
 }
@@ -82,6 +87,21 @@
 	return e.own.Record, err
 }
 
+// succeed takes over if an earlier process of this host wrote the record.
+func (e *Elector) succeed(ctx context.Context) error {
+	if err := e.begin(ctx); err != nil {
+		return err
+	}
+	defer e.end()
+	ctx, cancel := context.WithTimeout(ctx, storeTimeout)
+	defer cancel()
+	read, err := e.read(ctx)
+	if err != nil || !e.isPredecessor(read.Record) {
+		return err
+	}
+	return e.takeOver(ctx, read)
+}
+
 // Renew extends the lease of this process, also one that has ended if no other process has written since. It does nothing if
 // this process was not elected or was replaced.
 func (e *Elector) Renew(ctx context.Context) error {
@@ -121,7 +141,11 @@
 	if e.own.Revision != 0 && e.own.Record.Token.Less(ask.Token) {
 		e.stepDownLocked()
 	}
-	if e.book == nil || e.own.Revision == 0 || !now.Before(e.leaseEnd) {
+	if e.book == nil || e.own.Revision == 0 {
+		return core.QuotaReply{Number: ask.Number}, false
+	}
+	if key := (holderKey{ask.Host, ask.Incarnation}); !now.Before(e.leaseEnd) || !e.recorded[key] {
+		e.pending[key] = true
 		return core.QuotaReply{Number: ask.Number}, false
 	}
 	shares, current := e.book.Answer(ask, find, now)
@@ -188,7 +212,12 @@
 		// An absent record names nobody. Only this process can grant shares by a record of its own, of which it may not know if the response was lost.
 		return !now.Before(e.leaseEnd)
 	}
-	return !now.Before(e.since.Add(core.QuotaCoordinatorLease + core.ClockDriftMargin))
+	return e.isPredecessor(read.Record) || !now.Before(e.since.Add(core.QuotaCoordinatorLease+core.ClockDriftMargin))
+}
+
+// isPredecessor reports whether an earlier process of this host wrote the record. It ended before this one started.
+func (e *Elector) isPredecessor(record core.QuotaRecord) bool {
+	return record.Host == e.self.Host && record.LinkAddress == e.self.LinkAddress && record.Incarnation != e.self.Incarnation
 }
 
 // takeOver elects this process in place of what was read.
@@ -205,6 +234,18 @@
 	first := e.firstStart && !e.foundOther && !e.led && read.Era == e.store.FirstEra()
 	// The last grant of any earlier coordinator was before since + QuotaCoordinatorLease, by its own lease.
 	openAt := e.since.Add(core.QuotaCoordinatorLease + core.QuotaLease + core.ClockDriftMargin)
+	if e.isPredecessor(read.Record) {
+		openAt = now.Add(core.QuotaLease + core.ClockDriftMargin)
+	}
+	// A record of an earlier era may be older than the last one of its coordinator.
+	namesHolders := read.Revision != 0 && read.Record.Token.Era == read.Era
+	e.inherited = map[holderKey]bool{unknownHolder: true}
+	if namesHolders {
+		e.inherited = parseHolders(read.Record.Holders)
+	}
+	if len(e.inherited) == 0 {
+		openAt = now
+	}
 	// A revision is written once per era, so that no other election of the era can have this number, not even one that replaces
 	// a record that a late write of an earlier era has overwritten.
 	token := core.QuotaToken{
@@ -220,7 +261,9 @@
 		e.book = NewFirstBook(e.bounds, now)
 	} else {
 		e.book = NewBook(e.bounds, openAt)
+		e.book.inherited = e.inherited
 	}
+	e.inherited = nil
 	e.led = true
 	event.QuotaCoordinating.Write(e.log, zap.Any("token", token), zap.Duration("wait", max(0, openAt.Sub(now))), zap.Bool("first", first))
 	return nil
@@ -231,6 +274,8 @@
 	record := e.self
 	record.Token, record.Writes = token, read.Record.Writes+1
 	start := e.timer.Now()
+	holders := e.nextHolders(start)
+	record.Holders = formatHolders(holders)
 	revision, era, err := e.store.Write(ctx, record, read.Revision)
 	if err != nil {
 		return err
@@ -243,6 +288,10 @@
 		return errors.Annotatef(core.ErrUncertain, "the era changed from %d to %d", read.Era, era)
 	}
 	e.own = core.QuotaRead{Era: era, Record: record, Revision: revision}
+	e.recorded = holders
+	for key := range holders {
+		delete(e.pending, key)
+	}
 	e.leaseEnd = start.Add(core.QuotaCoordinatorLease)
 	e.noteToken(token)
 	return nil
@@ -260,7 +309,8 @@
 	if e.book != nil {
 		event.QuotaStepDown.Write(e.log, zap.Any("token", e.own.Record.Token))
 	}
-	e.book, e.own, e.leaseEnd = nil, core.QuotaRead{}, 0
+	e.book, e.own, e.leaseEnd, e.recorded = nil, core.QuotaRead{}, 0, nil
+	clear(e.pending)
 }
 
 // isOwn reports whether a record was written by this process. The caller holds the mutex.
