--- a/steer/share/account.go
+++ b/steer/share/account.go
@@ -13,8 +13,9 @@
 	spareFactor = 1.5
 	// hostRatePart is the largest part of the rate that hosts get. The rest fills the pool also when the demand exceeds the quota.
 	hostRatePart = 0.85
-	// exhaustedPart is the part of the quota above which an empty pool means that waiting is useless. Below it, the pool fills soon.
-	exhaustedPart = 0.95
+	// exhaustedPart is the part of the quota above which an empty pool means that waiting is useless. The measured demand of
+	// requests within the quota reaches 1.15 of it by chance.
+	exhaustedPart = 1.3
 	// hostBurstPart is the part of the burst that hosts may keep; the rest stays in the pool.
 	hostBurstPart = 0.6
 	// maxRatePerBurst is the largest rate per request of burst beside the one that is kept. What accrues with higher ones between
