--- a/steer/share/share_test.go
+++ b/steer/share/share_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"strings"
 	"testing"
 	"time"
 
@@ -378,3 +379,69 @@
 		})
 	}
 }
+
+// TestReplacedHolders guards against a successor that divides a quota while processes of its predecessor may hold shares, and against
+// one that waits for the leases of processes that others have replaced, as after a restart of all hosts.
+func TestReplacedHolders(t *testing.T) {
+	type asker struct{ host, incarnation string }
+	old := []asker{{"h1", "i1"}, {"h2", "i1"}}
+	cases := map[string]struct {
+		// asks of processes, each repeated after gap.
+		asks    []asker
+		gap     time.Duration
+		granted bool
+	}{
+		"all are replaced":         {[]asker{{"h1", "i2"}, {"h2", "i2"}}, 400 * time.Millisecond, true},
+		"one does not return":      {[]asker{{"h1", "i2"}}, 400 * time.Millisecond, false},
+		"one was not restarted":    {[]asker{{"h1", "i2"}, {"h2", "i1"}}, 400 * time.Millisecond, false},
+		"asks that came at once":   {[]asker{{"h1", "i2"}, {"h2", "i2"}}, 0, false},
+		"processes of other hosts": {[]asker{{"h3", "i2"}, {"h4", "i2"}}, 400 * time.Millisecond, false},
+	}
+	for name, k := range cases {
+		t.Run(name, func(t *testing.T) {
+			f := newFixture(true)
+			find(t, f.a)
+			numbers := map[asker]int64{}
+			ask := func(c *share.Coordinator, from asker) core.QuotaReply {
+				numbers[from]++
+				reply, err := c.Answer(t.Context(), core.QuotaAsk{
+					Host: from.host, Incarnation: from.incarnation, Number: numbers[from],
+					Customers: []core.QuotaDemand{{Customer: "c", Demand: 1, Waiting: 1}},
+				})
+				assert.NilError(t, err)
+				return reply
+			}
+			for _, from := range old {
+				granted(t, ask(f.a, from))
+				assert.Assert(t, strings.Contains(f.store.current.Record.Holders, from.host+"/"+from.incarnation), "not named before its first share")
+			}
+			f.clock.Advance(time.Second)
+			successor := f.start("a", "i2", false)
+			for range 2 {
+				for _, from := range k.asks {
+					ask(successor, from)
+				}
+				f.clock.Advance(k.gap)
+			}
+			f.clock.Advance(400 * time.Millisecond)
+			s := granted(t, ask(successor, k.asks[0]))
+			assert.Equal(t, s.Rate+s.Tokens > 0, k.granted, "%+v", s)
+			f.clock.Advance(core.QuotaLease + time.Second)
+			ask(successor, k.asks[0])
+			s = granted(t, ask(successor, k.asks[0]))
+			assert.Assert(t, s.Rate+s.Tokens > 0, "nothing is granted after all leases have ended")
+		})
+	}
+}
+
+// TestHoldersOfAnEarlierEra guards against a successor that trusts the holders of a record that a restored store has lost writes of.
+func TestHoldersOfAnEarlierEra(t *testing.T) {
+	f := newFixture(true)
+	find(t, f.a)
+	f.store.era = 2
+	successor := f.start("a", "i2", false)
+	reply := f.ask(t, successor, "h", core.QuotaShare{}, 1)
+	s := granted(t, reply)
+	assert.Equal(t, s.Rate+s.Tokens, 0.0)
+	assert.Equal(t, f.store.current.Record.Holders, "/,h/i1")
+}
