--- a/steer/roster/roster.go
+++ b/steer/roster/roster.go
@@ -48,6 +48,9 @@
 	peers   []string
 	// ranked lists the registered hosts of the region in the order in which Readers prefers them.
 	ranked []string
+	// rank is the result of Rank while rankKnown is true.
+	rank      int
+	rankKnown bool
 	// self is the registration of this host; links are kept to the other hosts of its region.
 	self core.Host
 	// restoredAt is the time of the last MarkRestored, or 0; unlisted holds the hosts that the restored store lacks.
@@ -296,6 +299,7 @@
 // index rebuilds the lists of names and peers and clears the cached lookups; the caller holds the mutex.
 func (r *Roster) index() {
 	clear(r.lookups)
+	r.rankKnown = false
 	r.names = map[string][]string{}
 	r.peers = nil
 	for name, h := range r.hosts {
