Keep objects at their homes where targets report their work time

Cause: with the load header read, hosts know all requests that wait at a home and send more of them to targets that do not know the object, which costs three times the slot time; and responses with waiting requests behind them were not used as measurements, so that under overload it was not learned what targets remember.

Change, for services whose targets report their work time: measured times count under overload without the expected wait, moving an object costs more the more requests wait, late requests get 0.35 requests per slot of a target that does not know their object and 3.0 of one that does. A measured time is divided by the reported factors, so that the slowdown does not count them again.

--- a/entry/place/choice.go
+++ b/entry/place/choice.go
@@ -35,6 +35,10 @@
 	known    float64
 	slowdown float64
 	target   *target
+	// wait is the part of expected before the request runs, or 0 if a slot is free, and workFactor the part of slowdown that the target
+	// has reported.
+	wait       time.Duration
+	workFactor float64
 }
 
 // better returns the choice with the lower cost; a choice without a target never wins.
--- a/entry/place/estimate.go
+++ b/entry/place/estimate.go
@@ -12,6 +12,12 @@
 	movePenalty  = 0.4
 	missPenalty  = 2.5
 	placePenalty = 0.5
+	// crowdPenalty is the factor by which movePenalty grows for each request per slot that waits at targets, for services whose targets
+	// report their work time. An object that is learned again takes its time from all that wait.
+	crowdPenalty = 4.0
+	// maxCrowd bounds the waiting requests per slot that count, and crowdDivisor is the inverse of the weight of a new sample of them.
+	maxCrowd     = 2.0
+	crowdDivisor = 64
 )
 
 // estimate estimates the time until a target's response: the round-trip time, the wait for a slot and the service time.
@@ -19,20 +25,22 @@
 	candidate := choice{
 		key: c.key, distance: unseen, place: place, slowdown: max(t.currentSlowdown(c.now), t.overdueSlowdown(c.now)), target: t,
 	}
-	candidate.slowdown *= t.workTime.current(c.now)
+	candidate.workFactor = t.workTime.current(c.now)
+	candidate.slowdown *= candidate.workFactor
 	serviceTime, penalty := c.unknownTime, 0.0
 	if c.key != 0 {
 		candidate.distance = t.keys.distance(c.key)
 		candidate.known = c.service.recall.probability(place, candidate.distance)
 		serviceTime -= candidate.known * c.savedTime
 		if place != c.home {
-			penalty = c.savedTime * (movePenalty + missPenalty*c.service.recall.missShare) * (1 + placePenalty*float64(place))
+			penalty = (1 + crowdPenalty*c.service.crowd) * c.savedTime * (movePenalty + missPenalty*c.service.recall.missShare) * (1 + placePenalty*float64(place))
 		}
 	}
 	busy, slots := t.busy(c.now), max(1, t.Slots)
 	wait := busyPenalty * serviceTime * min(1, float64(busy)/float64(slots))
 	if busy >= slots {
 		wait += float64(busy-slots+1) / float64(slots) * c.meanTime
+		candidate.wait = time.Duration(candidate.slowdown * wait)
 	}
 	candidate.expected = c.roundTrip(t) + time.Duration(candidate.slowdown*(serviceTime+wait))
 	candidate.cost = candidate.expected + time.Duration(penalty)
--- a/entry/place/late.go
+++ b/entry/place/late.go
@@ -14,6 +14,10 @@
 	// miss their deadline are accepted up to lateShareUnknown, because only a response shows that the target has become faster.
 	lateShareUnknown = 0.7
 	lateShareKnown   = 2.0
+	// freshShareUnknown and freshShareKnown replace them for services whose targets report their work time, so that the requests at a
+	// target are known better. Learning an object there occupies a slot for longer than the wait of a request for a known one.
+	freshShareUnknown = 0.35
+	freshShareKnown   = 3.0
 	// urgentShareUnknown replaces lateShareUnknown for requests of a rank that is preferred to others. With 0.7, 0.77 of the second of
 	// three ranks were served in "too much" of TestRankedLoads, with 1.1 0.84, and with 1.4 0.82 and fewer in time.
 	urgentShareUnknown = 1.1
@@ -30,17 +34,24 @@
 }
 
 var (
-	entitledRoom = lateRoom{lateShareUnknown, lateShareKnown}
-	urgentRoom   = lateRoom{urgentShareUnknown, lateShareKnown}
-	surplusRoom  = lateRoom{surplusShareUnknown, surplusShareKnown}
+	entitledRoom    = lateRoom{lateShareUnknown, lateShareKnown}
+	freshRoom       = lateRoom{freshShareUnknown, freshShareKnown}
+	freshUrgentRoom = lateRoom{urgentShareUnknown, freshShareKnown}
+	surplusRoom     = lateRoom{surplusShareUnknown, surplusShareKnown}
+	urgentRoom      = lateRoom{urgentShareUnknown, lateShareKnown}
 )
 
-// lateRoomOf returns the room for a request with a standing.
-func lateRoomOf(standing *rank.Standing) lateRoom {
-	if standing.Urgent {
+// lateRoomOf returns the room for a request to a service, which may be nil, with a standing.
+func lateRoomOf(s *service, standing *rank.Standing) lateRoom {
+	fresh := s != nil && s.reportsWork
+	switch {
+	case standing.Urgent && fresh:
+		return freshUrgentRoom
+	case standing.Urgent:
 		return urgentRoom
-	}
-	if standing.Entitled {
+	case standing.Entitled && fresh:
+		return freshRoom
+	case standing.Entitled:
 		return entitledRoom
 	}
 	return surplusRoom
--- a/entry/place/load_test.go
+++ b/entry/place/load_test.go
@@ -69,6 +69,9 @@
 func (e loadEvents) Swap(i, j int)      { e[i], e[j] = e[j], e[i] }
 func (e *loadEvents) Push(x any)        { *e = append(*e, x.(loadEvent)) }
 
+func (e *loadEvents) add(event loadEvent) { heap.Push(e, event) }
+func (e *loadEvents) next() loadEvent     { return heap.Pop(e).(loadEvent) }
+
 func (e *loadEvents) Pop() any {
 	last := (*e)[len(*e)-1]
 	*e = (*e)[:len(*e)-1]
--- a/entry/place/placer.go
+++ b/entry/place/placer.go
@@ -79,7 +79,7 @@
 	p.updateTargets()
 	p.ranker.Apply(p.Settings.Current())
 	d := decision{standing: p.ranker.Offer(request, now)}
-	late := lateRoomOf(&d.standing)
+	late := lateRoomOf(p.services[request.Service], &d.standing)
 	selected := p.choose(request, now, late)
 	d.best = selected.best
 	if d.best.target == nil {
@@ -101,6 +101,7 @@
 		d.best = selected.spare
 	}
 	d.state = p.targetState(d.best.target, now)
+	p.services[request.Service].recordChoice(d.state.busy, d.state.slots)
 	d.granted = p.grant(d.best, request, now)
 	d.standing.Admitted()
 	p.remoteShare.record(d.best.target.Region != p.Region, selected.forced)
@@ -174,6 +175,9 @@
 	}
 	if outcome.HasLoad {
 		t.recordLoad(now, outcome.Load)
+		if s := p.services[t.Service]; s != nil && outcome.Load.TimePercent > 0 {
+			s.reportsWork = true
+		}
 	}
 	switch {
 	case outcome.OtherTarget:
@@ -191,11 +195,17 @@
 func (p *Placer) recordLatency(g *grant, now core.Instant, outcome *core.Outcome) {
 	t := g.choice.target
 	serviceTime := max(time.Millisecond, outcome.Latency-p.roundTrip(t))
-	if outcome.HasLoad && outcome.Load.Queued > 0 {
+	explained := 1.0
+	if s := p.services[t.Service]; s != nil && s.reportsWork {
+		// Under overload all targets have queued requests. Without these measurements it would not be noticed which keys they know.
+		serviceTime = max(serviceTime/maxWaitPart, serviceTime-g.choice.wait)
+		explained = max(1, (g.choice.workFactor+t.workTime.current(now))/2)
+	} else if outcome.HasLoad && outcome.Load.Queued > 0 {
 		// With queued requests the latency reflects the queue rather than the service time.
 		t.consecutiveFailures, t.avoidUntil = 0, 0
 		return
 	}
+	serviceTime = time.Duration(float64(serviceTime) / explained)
 	known := p.keyWasKnown(g, serviceTime, now)
 	believed := known || g.choice.known >= believedKnown
 	t.recordSuccess(now, float64(serviceTime)/float64(p.serviceTimes.routeMean(g.request.Route, believed)))
@@ -292,6 +302,9 @@
 	return core.ServiceSettings{}
 }
 
+// maxWaitPart bounds the expected wait that is subtracted from a measured time, whose part remains.
+const maxWaitPart = 5
+
 // believedKnown is the probability from which a slow response to a request with a known key is taken for a slow target
 // rather than a forgotten key.
 const believedKnown = 0.7
--- a/entry/place/service.go
+++ b/entry/place/service.go
@@ -15,6 +15,10 @@
 	// probes is the number of positions of an affinity key on a ring.
 	probes int
 	slots  int
+	// crowd is the moving average of the requests per slot that wait at the chosen targets. It is kept while reportsWork is set, which
+	// means that targets of the service report their work time.
+	crowd       float64
+	reportsWork bool
 }
 
 // regionTargets are the targets of the local region, or of all remote regions.
@@ -36,6 +40,13 @@
 	s.remote.targets = append(s.remote.targets, t)
 }
 
+// recordChoice records the number of requests at a chosen target.
+func (s *service) recordChoice(busy, slots int) {
+	if s.reportsWork {
+		s.crowd += (min(maxCrowd, max(0, float64(busy)/float64(max(1, slots))-1)) - s.crowd) / crowdDivisor
+	}
+}
+
 // inherit takes over what an earlier list of targets had, which may be nil.
 func (s *service) inherit(previous *service) {
 	if previous == nil {
@@ -43,6 +54,7 @@
 		return
 	}
 	s.recall = previous.recall
+	s.crowd, s.reportsWork = previous.crowd, previous.reportsWork
 	if s.fingerprint == previous.fingerprint && s.probes == previous.probes {
 		// The rings refer to the targets by their index.
 		s.local, s.remote = previous.local, previous.remote
