Show that uncontrolled clients exhaust the memory and descriptors of a host

TestCrowd starts the platform program with a stand-in store and targets, and TestCrowdOfEntry a deployment of the product's own programs, each with 96 MB and 512 descriptors in its settings. Crowds of 48 to 800 clients send legal heads of very many lines, heads without end, one byte at a time, and endless empty lines. The tests check only that the process lives, that its peak memory and its descriptors stay within the settings, and that ordinary requests are answered afterwards. The clients stop early at 768 MB. The tests are not parallel, so that go test runs them before it resumes the parallel ones.

--- /dev/null
+++ b/e2e/crowd_host_test.go
@@ -0,0 +1,228 @@
+package e2e_test
+
+import (
+	"encoding/json"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"os"
+	"path/filepath"
+	"strconv"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"ebonyrouter.dev/fleet"
+	"ebonyrouter.dev/soak/stand"
+)
+
+const (
+	// crowdMemoryMB and crowdDescriptors are the limits of the host in the tests with uncontrolled clients, and the bounds that the
+	// tests check.
+	crowdMemoryMB    = 96
+	crowdDescriptors = 512
+	// crowdDuration is the time for which the clients connect again after each end of a connection.
+	crowdDuration = 4 * time.Second
+	// tooMuchMemory ends a crowd early, so that a failing test does not use up the memory of the machine.
+	tooMuchMemory = 8 * crowdMemoryMB << 20
+)
+
+// crowdHost is a running process that a crowd of clients connects to.
+type crowdHost struct {
+	// ordinary are the URLs of ordinary requests.
+	ordinary []string
+	process  *fleet.Process
+	t        *testing.T
+}
+
+// startPlatform starts a store, targets and the platform program with the limits crowdMemoryMB and crowdDescriptors. It returns the
+// addresses on which the process listens by their names.
+func startPlatform(t *testing.T) (*crowdHost, map[string]string) {
+	t.Helper()
+	store, record := stand.NewStore(), stand.NewRecord()
+	storeAddress := serve(t, store.Handler())
+	for i := range 4 {
+		target := &stand.Target{
+			Address: fleet.FreeAddress(t), ID: fmt.Sprintf("i-%d", i), Service: "board", Slots: 4, Zone: "north-a",
+			Work: func() time.Duration { return 200 * time.Millisecond },
+		}
+		assert.NilError(t, target.Start(record, store))
+		t.Cleanup(target.Crash)
+	}
+	assert.NilError(t, store.Put("config", "main", map[string]any{
+		"version":  "r1",
+		"services": []any{map[string]any{"name": "board", "healthPath": "/health", "maxConns": 100, "coldPerS": 100}},
+		"routes": []any{map[string]any{
+			"name": "r", "host": "a.example", "pathPrefix": "/r/", "kind": "safe", "timeout": "4s", "aim": "2s", "service": "board", "maxAttempts": 2,
+		}},
+		"limits": map[string]any{"maxHeaderBytes": 64 << 10, "maxBodyBytes": 64 << 20, "headerTimeout": "3s", "idleTimeout": "15s"},
+	}))
+	ip, addresses := fleet.NewLoopbackIP(), map[string]string{}
+	names := []string{"front", "ready", "directory", "control", "links", "metrics"}
+	for i, address := range fleet.FreeAddresses(t, ip, len(names)) {
+		addresses[names[i]] = address
+	}
+	linkPort, metricsPort := port(addresses["links"]), port(addresses["metrics"])
+	content, err := json.Marshal(map[string]any{
+		"self": map[string]any{
+			"node": "h1", "ip": ip, "zone": "north-a", "region": "north", "bootstrap": true,
+			"limits": map[string]any{"cpuShare": 1, "cores": 1, "memoryMb": crowdMemoryMB, "maxFds": crowdDescriptors, "linkMbps": 100},
+		},
+		"network": map[string]any{
+			"listen": map[string]any{
+				"front": addresses["front"], "ready": addresses["ready"], "directory": addresses["directory"], "control": addresses["control"],
+			},
+			"internalPorts": []int{linkPort, linkPort}, "zones": map[string]string{"north-a": "north"},
+		},
+		"platform": map[string]any{"heartbeat": "1500ms", "platform": map[string]any{"address": storeAddress}},
+		"terms":    map[string]any{"bounds": map[string]any{"grace": "6s", "retryBudgetRatio": 0.2, "ttl_max": "5s", "maxShift": 0.15}},
+	})
+	assert.NilError(t, err)
+	path := filepath.Join(t.TempDir(), "node.json")
+	assert.NilError(t, os.WriteFile(path, content, 0o600))
+	h := &crowdHost{t: t, ordinary: []string{
+		addresses["front"] + "/r/x", addresses["ready"] + "/api/ready",
+		addresses["directory"] + "/api/resolve?host=a.example&zone=north-a", addresses["metrics"] + "/metrics",
+	}}
+	h.process = binaries.Start(t, "platform", "platform", "-node-file="+path, fmt.Sprintf("-metrics-port=%d", metricsPort))
+	h.awaitAnswers()
+	return h, addresses
+}
+
+// startEntry starts a deployment of one host, of which the entry process has the limits crowdMemoryMB and crowdDescriptors, and returns
+// the addresses on which it listens by their names.
+func startEntry(t *testing.T) (*crowdHost, map[string]string) {
+	t.Helper()
+	t.Setenv("EBONY_MEMORY_MB", strconv.Itoa(crowdMemoryMB))
+	t.Setenv("EBONY_MAX_FDS", strconv.Itoa(crowdDescriptors))
+	d := deploy(t, fleet.Spec{
+		HostsPerZone: 1, Regions: []string{"north"}, Zones: 1, Services: []fleet.ServiceSpec{{Name: "board", ServiceMs: 200, Slots: 4, Targets: 4}},
+	})
+	host := d.Hosts[0]
+	h := &crowdHost{t: t, process: host.Entry, ordinary: []string{
+		host.CallerAddress + "/r/x", host.EntryAdmin + "/readyz",
+	}}
+	h.awaitAnswers()
+	return h, map[string]string{"caller": host.CallerAddress, "relay": host.RelayAddress, "admin": host.EntryAdmin}
+}
+
+// serve serves a handler on a new loopback address until the test ends and returns the address.
+func serve(t *testing.T, handler http.Handler) string {
+	t.Helper()
+	address := fleet.FreeAddress(t)
+	listener, err := net.Listen("tcp", address)
+	assert.NilError(t, err)
+	server := &http.Server{Handler: handler, ReadHeaderTimeout: time.Minute}
+	go func() { _ = server.Serve(listener) }()
+	t.Cleanup(func() { _ = server.Close() })
+	return address
+}
+
+// port returns the port of an address.
+func port(address string) int {
+	a, err := net.ResolveTCPAddr("tcp", address)
+	if err != nil {
+		panic(err)
+	}
+	return a.Port
+}
+
+// awaitAnswers waits until all ordinary requests are answered.
+func (h *crowdHost) awaitAnswers() {
+	h.t.Helper()
+	transport := &http.Transport{DisableKeepAlives: true}
+	for _, address := range h.ordinary {
+		fleet.Eventually(h.t, fleet.ReadyTimeout, func() error {
+			request, err := http.NewRequestWithContext(h.t.Context(), http.MethodGet, "http://"+address, http.NoBody)
+			if err != nil {
+				return err
+			}
+			if strings.HasSuffix(address, "/r/x") {
+				request.Host = "a.example"
+				request.Header.Set("Ebony-Service", "board")
+			}
+			request.Header.Set("Ebonyrouter-Request-Id", "q-ordinary")
+			response, err := transport.RoundTrip(request)
+			if err != nil {
+				return err
+			}
+			defer func() { _ = response.Body.Close() }()
+			if response.StatusCode != http.StatusOK {
+				return fmt.Errorf("%s: status %d", address, response.StatusCode)
+			}
+			_, err = io.Copy(io.Discard, response.Body)
+			return err
+		})
+	}
+}
+
+// play lets many clients connect to an address at the same time, and again after each end of a connection. It fails the test if the
+// process exits, exceeds its memory or its descriptors, or does not answer ordinary requests afterwards.
+func (h *crowdHost) play(address string, connections int, act client) {
+	h.t.Helper()
+	stop := make(chan struct{})
+	var tasks sync.WaitGroup
+	for range connections {
+		tasks.Go(func() {
+			for !isClosed(stop) {
+				talk(address, act, stop)
+			}
+		})
+	}
+	peak, descriptors := int64(0), 0
+	for end := time.Now().Add(crowdDuration); time.Now().Before(end) && peak < tooMuchMemory; time.Sleep(10 * time.Millisecond) {
+		var err error
+		if peak, err = h.process.PeakRSS(); err != nil {
+			break
+		}
+		if open, err := h.process.OpenDescriptors(); err == nil {
+			descriptors = max(descriptors, open)
+		}
+	}
+	close(stop)
+	tasks.Wait()
+	peak, err := h.process.PeakRSS()
+	assert.NilError(h.t, err, "the process has ended")
+	h.t.Logf("peak memory %.1f MB, most open descriptors %d", float64(peak)/(1<<20), descriptors)
+	assert.Check(h.t, peak <= crowdMemoryMB<<20, "peak memory %d MB", peak>>20)
+	assert.Check(h.t, descriptors <= crowdDescriptors, "%d open descriptors", descriptors)
+	h.awaitAnswers()
+}
+
+// talk opens one connection, lets a client write to it and discards the responses, until the connection ends or stop is closed.
+func talk(address string, act client, stop chan struct{}) {
+	conn, err := net.DialTimeout("tcp", address, time.Second)
+	if err != nil {
+		time.Sleep(10 * time.Millisecond)
+		return
+	}
+	ended := make(chan struct{})
+	go func() {
+		select {
+		case <-stop:
+		case <-ended:
+		}
+		_ = conn.Close()
+	}()
+	var reading sync.WaitGroup
+	reading.Go(func() {
+		_, _ = io.Copy(io.Discard, conn)
+		_ = conn.Close()
+	})
+	act(conn)
+	close(ended)
+	reading.Wait()
+}
+
+func isClosed(c chan struct{}) bool {
+	select {
+	case <-c:
+		return true
+	default:
+		return false
+	}
+}
--- /dev/null
+++ b/e2e/crowd_test.go
@@ -0,0 +1,66 @@
+package e2e_test
+
+import "testing"
+
+// Guards against a process that exceeds the memory or the descriptors of its host, exits or stops answering because of clients that send
+// requests of legal size with very many lines, endless heads or endless empty lines. These tests run one at a time and apart from other
+// load: they are not parallel, and go test runs those of a package before it resumes the parallel ones.
+func TestCrowd(t *testing.T) {
+	tests := map[string]struct {
+		address     string
+		connections int
+		act         client
+	}{
+		"legal, different short names":      {"front", 48, once(legal(1<<20, ""), 16)},
+		"legal, one name with empty values": {"front", 48, once(legal(1, ""), 16)},
+		"legal, names of one letter":        {"front", 48, once(legal(32, " 1"), 16)},
+		"legal, never ended":                {"front", 300, trickle(manyLines(crowdHeadBytes, 1<<20, ""), "z")},
+		"too large, endless line":           {"front", 200, repeat("GET /", "x")},
+		"too large, endless value":          {"front", 200, repeat(crowdLine+"A: ", "x")},
+		"too large, endless lines":          {"front", 200, repeat(crowdLine, "a:\r\n")},
+		"slow, one byte at a time":          {"front", 800, trickle("", crowdLine)},
+		"empty lines":                       {"front", 200, repeat("", "\r\n")},
+		"empty lines without CR":            {"front", 200, repeat("", "\n")},
+		"empty lines, slow":                 {"front", 800, trickle("\r\n", "\r\n")},
+		"ready, many lines never ended":     {"ready", 100, trickle(manyLines(600<<10, 1<<20, ""), "z")},
+		"ready, endless lines":              {"ready", 50, repeat(crowdLine, "a:\r\n")},
+		"ready, slow":                       {"ready", 800, trickle("", crowdLine)},
+		"directory, many lines never ended": {"directory", 100, trickle(manyLines(600<<10, 1<<20, ""), "z")},
+		"directory, endless line":           {"directory", 100, repeat("GET /", "x")},
+		"directory, empty lines":            {"directory", 200, repeat("", "\r\n")},
+		"links, endless bytes":              {"links", 200, repeat("\x00\x00\x10\x00\x01", "x")},
+		"links, slow":                       {"links", 800, trickle("\x00", "\x00")},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			h, addresses := startPlatform(t)
+			h.play(addresses[test.address], test.connections, test.act)
+		})
+	}
+}
+
+// Guards against the same faults as TestCrowd at the entry program.
+func TestCrowdOfEntry(t *testing.T) {
+	const legalBytes = 900 << 10
+	tests := map[string]struct {
+		address     string
+		connections int
+		act         client
+	}{
+		"legal, different short names": {"caller", 48, once([]byte(manyLines(legalBytes, 1<<20, "")+"Ebony-Service: board\r\n\r\n"), 2)},
+		"never ended":                  {"caller", 300, trickle(manyLines(crowdHeadBytes, 1<<20, ""), "z")},
+		"too large, endless lines":     {"caller", 100, repeat(crowdLine, "a:\r\n")},
+		"too large, endless line":      {"caller", 100, repeat("GET /", "x")},
+		"slow, one byte at a time":     {"caller", 800, trickle("", crowdLine)},
+		"empty lines":                  {"caller", 200, repeat("", "\r\n")},
+		"relay, never ended":           {"relay", 300, trickle(manyLines(crowdHeadBytes, 1<<20, ""), "z")},
+		"admin, never ended":           {"admin", 300, trickle(manyLines(crowdHeadBytes, 1<<20, ""), "z")},
+		"admin, slow":                  {"admin", 800, trickle("", crowdLine)},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			h, addresses := startEntry(t)
+			h.play(addresses[test.address], test.connections, test.act)
+		})
+	}
+}
--- a/e2e/main_test.go
+++ b/e2e/main_test.go
@@ -26,7 +26,7 @@
 		return 1
 	}
 	defer func() { _ = os.RemoveAll(dir) }()
-	if binaries, err = fleet.Build(dir, "entry", "steer", "teststore", "testup"); err != nil {
+	if binaries, err = fleet.Build(dir, "entry", "platform", "steer", "teststore", "testup"); err != nil {
 		fmt.Fprintln(os.Stderr, err)
 		return 1
 	}
