Bound the memory and the connections that a process holds for clients

A head of 64 KiB with lines of four bytes becomes 2 MB in the maps of net/http, once more in the copy for the target, and nothing bounded the heads in progress, the pipelined requests or the connections of a process. entry/memory derives a budget (40% of the host's memory), the connections of each port and the runtime's soft memory limit (65%) from self.limits.memoryMb and maxFds, or from the new flags -memory-mb and -max-fds of the entry program. Heads are charged while they are read, 384 bytes a line and three times their text: 503 if the budget does not permit them, 431 beyond 16,384 lines. A connection that holds more than 32 KiB may use 75% of the budget and one with more than 128 KiB half of it, so that ordinary requests find room. A full port closes connections that have sent no complete request for 0.5 s, then those idle for 10 s, and refuses others with 503. The intake counts heads itself; servers of net/http (lookup, ready, metrics, administration, the entry's callers and relays) by their connections. Links without a hello take at most half of the connections and end after 2 s. Heads of the administration, lookup, ready and metrics ports are at most 16 or 64 KiB instead of 1 MiB.

The soft limit keeps the garbage of a crowd from adding up to a multiple of the budget between two collections.

--- a/core/admin/server.go
+++ b/core/admin/server.go
@@ -19,7 +19,11 @@
 
 const (
 	readHeaderTimeout = 5 * time.Second
-	bearerPrefix      = "Bearer "
+	// idleTimeout is longer than the interval of scrapes of the metrics, which is a minute at most.
+	idleTimeout = 2 * time.Minute
+	// maxHeaderBytes is far above the heads of operators' requests, and bounds what other clients make the process read.
+	maxHeaderBytes = 16 << 10
+	bearerPrefix   = "Bearer "
 )
 
 // Problem is the JSON body of every error response.
@@ -33,9 +37,11 @@
 	listener net.Listener
 	log      *zap.Logger
 	metrics  http.Handler
-	ready    func() error
-	server   *http.Server
-	token    string
+	// wrap returns the listener to accept from.
+	wrap   func(net.Listener) net.Listener
+	ready  func() error
+	server *http.Server
+	token  string
 }
 
 // Option configures a Server.
@@ -46,6 +52,12 @@
 	return func(s *Server) { s.metrics = handler }
 }
 
+// WithListener accepts connections from the listener that wrap returns for the server's own one, and calls track at each change of the
+// state of a connection.
+func WithListener(wrap func(net.Listener) net.Listener, track func(net.Conn, http.ConnState)) Option {
+	return func(s *Server) { s.wrap, s.server.ConnState = wrap, track }
+}
+
 // WithReady sets the readiness check. Its error is returned to the client with status 503.
 func WithReady(ready func() error) Option {
 	return func(s *Server) { s.ready = ready }
@@ -58,7 +70,7 @@
 
 // New listens on address and returns a server. The function routes adds the API routes below /v1.
 func New(log *zap.Logger, address string, routes func(chi.Router), options ...Option) (*Server, error) {
-	s := &Server{log: log}
+	s := &Server{log: log, server: &http.Server{ReadHeaderTimeout: readHeaderTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeaderBytes}}
 	for _, option := range options {
 		option(s)
 	}
@@ -67,7 +79,10 @@
 		return nil, errors.Annotatef(err, "listen on administration address %s (code %d)", address, codes.ListenFailed)
 	}
 	s.listener = listener
-	s.server = &http.Server{Handler: s.router(routes), ReadHeaderTimeout: readHeaderTimeout}
+	if s.wrap != nil {
+		s.listener = s.wrap(listener)
+	}
+	s.server.Handler = s.router(routes)
 	return s, nil
 }
 
--- a/core/flags/set.go
+++ b/core/flags/set.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"io"
 	"slices"
+	"strconv"
 	"strings"
 
 	"github.com/juju/errors"
@@ -73,6 +74,20 @@
 	return p
 }
 
+// OptionalNumber defines a flag that holds a number of 0 or more; 0 stands for a default that help names.
+func (s *Set) OptionalNumber(name, help string) *int {
+	p := new(int)
+	s.defineOptional(name, "0", help, func(text string) error {
+		n, err := strconv.Atoi(text)
+		if err != nil || n < 0 {
+			return errors.Errorf("%q is not a number of 0 or more", text)
+		}
+		*p = n
+		return nil
+	})
+	return p
+}
+
 // OptionalIP defines a flag that holds an IP address without port, or an empty value.
 func (s *Set) OptionalIP(name, initial, help string) *string {
 	p := new(string)
--- a/core/links/conn.go
+++ b/core/links/conn.go
@@ -104,7 +104,10 @@
 	defer stop()
 	r := wire.NewReader(&activityReader{conn: c, stream: c.socket})
 	w := wire.NewWriter(c.socket)
-	if err := c.handshake(r, w); err != nil {
+	endHandshake := c.beginHandshake()
+	err := c.handshake(r, w)
+	endHandshake()
+	if err != nil {
 		c.logClosed(err)
 		return
 	}
@@ -117,7 +120,7 @@
 		markOpen()
 		c.queueHeartbeat()
 	}
-	err := c.readLoop(handlerCtx, r, markOpen)
+	err = c.readLoop(handlerCtx, r, markOpen)
 	c.close()
 	cancel()
 	c.tasks.Wait()
--- a/core/links/manager.go
+++ b/core/links/manager.go
@@ -37,8 +37,8 @@
 	defaultRingSize     = 1024
 	// maxAttempts limits the attempts to send a request; another one is made only if nothing of the last one was sent.
 	maxAttempts = 2
-	// maxConns is the number of connections, dialled and accepted, from which on no more are accepted.
-	maxConns = 4096
+	// defaultMaxConns is the number of connections, dialled and accepted, from which on no more are accepted.
+	defaultMaxConns = 4096
 )
 
 // Manager implements core.Links over TCP.
@@ -57,6 +57,7 @@
 	listenAddress   string
 	listener        net.Listener
 	log             *zap.Logger
+	maxConns        int
 	messageHandlers map[string]core.MessageHandler
 	mu              sync.RWMutex
 	// connsByAddress holds the open connections by peer address and by dialled address, oldest first.
@@ -71,6 +72,8 @@
 	// pending holds the requests without a reply by id.
 	pending   map[uint64]*pendingRequest
 	pendingMu sync.Mutex
+	// opening is the number of accepted connections without a hello.
+	opening atomic.Int64
 }
 
 // New returns a manager; it accepts connections only if WithListen is given.
@@ -83,6 +86,7 @@
 		droppable:       map[string]bool{core.TopicLoad: true},
 		handlerLimit:    defaultHandlerLimit,
 		log:             log,
+		maxConns:        defaultMaxConns,
 		messageHandlers: map[string]core.MessageHandler{},
 		connsByAddress:  map[string][]*conn{},
 		requestHandlers: map[string]core.RequestHandler{},
--- a/core/links/option.go
+++ b/core/links/option.go
@@ -30,6 +30,11 @@
 	return func(m *Manager) { m.listenAddress = address }
 }
 
+// WithMaxConns sets the number of connections, dialled and accepted, from which on no more are accepted; the default is 4,096.
+func WithMaxConns(n int) Option {
+	return func(m *Manager) { m.maxConns = n }
+}
+
 // WithRingSize sets the maximum number of frames queued for one connection.
 func WithRingSize(n int) Option {
 	return func(m *Manager) { m.ringSize = n }
--- a/core/links/tasks.go
+++ b/core/links/tasks.go
@@ -35,10 +35,7 @@
 			m.sleep(ctx, minBackoff)
 			continue
 		}
-		m.mu.RLock()
-		full := len(m.conns) >= maxConns
-		m.mu.RUnlock()
-		if full {
+		if !m.mayAccept() {
 			_ = s.Close()
 			continue
 		}
--- a/entry/intake/conn.go
+++ b/entry/intake/conn.go
@@ -14,6 +14,7 @@
 
 	"ebonyrouter.dev/core/event"
 	"ebonyrouter.dev/entry/heads"
+	"ebonyrouter.dev/entry/memory"
 )
 
 const (
@@ -35,14 +36,20 @@
 
 // conn is one connection of a caller.
 type conn struct {
-	cancel context.CancelFunc
-	ctx    context.Context //nolint:containedctx // Requests inherit it; it ends with the connection.
+	// account is charged for the requests that are being read or served.
+	account *memory.Account
+	cancel  context.CancelFunc
+	ctx     context.Context //nolint:containedctx // Requests inherit it; it ends with the connection.
 	// ended means that the last response is being sent or the connection has failed; no further request is served.
 	ended bool
 	// writeClosed means that the last response was written and the connection is closed for writing.
 	writeClosed bool
-	// head limits the size of request heads.
+	// guarded is the socket if its listener bounds the memory of connections, or nil.
+	guarded *memory.Conn
+	// head limits the size of request heads, and headMemory counts the memory that they need.
 	head             *heads.Reader
+	headMemory       memory.Head
+	watchHead        func(data []byte) error
 	lastExchange     *exchange
 	mutex            sync.Mutex
 	pendingResponses int
@@ -64,6 +71,7 @@
 	c.ctx, c.cancel = context.WithCancel(context.Background())
 	c.head = &heads.Reader{Source: socket, TooLarge: errHeadTooLarge}
 	c.reader = bufio.NewReader(c.head)
+	c.watchMemory(socket)
 	return c
 }
 
@@ -90,11 +98,13 @@
 	}
 	c.readingRequest = false
 	e := newExchange(c, request)
+	e.heldBytes = c.takeHead()
 	if c.lastExchange != nil {
 		e.previousDone = c.lastExchange.done
 	}
 	c.lastExchange = e
 	c.pendingResponses++
+	c.beginServing()
 	return e
 }
 
@@ -105,6 +115,7 @@
 	defer c.mutex.Unlock()
 	c.closeRequested = c.closeRequested || closeWanted
 	c.pendingResponses--
+	c.endServing()
 	if c.closeRequested && c.pendingResponses == 0 {
 		c.ended = true
 	}
@@ -136,7 +147,13 @@
 	c.beginRequest()
 	c.head.Begin(c.server.MaxHeaderBytes - int64(c.reader.Buffered()))
 	_ = c.socket.SetReadDeadline(time.Now().Add(c.server.HeaderTimeout))
+	if err := c.beginHead(); err != nil {
+		return nil, err
+	}
 	request, err := http.ReadRequest(c.reader)
+	if refusal := c.head.Refusal(); refusal != nil {
+		err = refusal
+	}
 	c.head.End()
 	if err != nil {
 		return nil, err
@@ -221,6 +238,7 @@
 		}
 	}
 	c.tasks.Wait()
+	c.account.Close()
 	c.cancel()
 	if c.isEnded() {
 		_ = c.socket.SetReadDeadline(time.Now().Add(discardTime))
@@ -253,6 +271,7 @@
 	c.tasks.Go(func() {
 		defer func() { <-c.pipelineTokens }()
 		e.run()
+		c.account.Release(e.heldBytes)
 	})
 	if e.streamed {
 		<-e.done
@@ -264,12 +283,15 @@
 // handleReadError ends the connection after a failure to read a request head. It sends an error response to a malformed
 // request and cancels the requests of a caller that has disconnected.
 func (c *conn) handleReadError(cause error) {
+	c.account.Release(c.takeHead())
 	var timeout net.Error
 	switch {
 	case c.isEnded():
 	case errors.Is(cause, ErrClosed):
 		c.closeIdle()
-	case errors.Is(cause, errHeadTooLarge):
+	case errors.Is(cause, memory.ErrExhausted):
+		c.reject(http.StatusServiceUnavailable, cause)
+	case errors.Is(cause, errHeadTooLarge), errors.Is(cause, memory.ErrTooManyLines):
 		c.reject(http.StatusRequestHeaderFieldsTooLarge, cause)
 	case errors.As(cause, &timeout) && timeout.Timeout():
 		if c.idle() {
@@ -289,6 +311,9 @@
 		return
 	}
 	e.header.Set("Connection", "close")
+	if status == http.StatusServiceUnavailable {
+		e.header.Set("Retry-After", retryAfterSeconds)
+	}
 	http.Error(e, cause.Error(), status)
 	e.finish()
 }
--- a/entry/intake/exchange.go
+++ b/entry/intake/exchange.go
@@ -42,7 +42,9 @@
 	bodySent      int64
 	// headWritten means that the response head was written to the connection.
 	headWritten bool
-	status      int
+	// heldBytes is what the request's head is charged to the connection's account.
+	heldBytes int64
+	status    int
 	// streamed means that the handler reads the request body from the connection.
 	streamed bool
 	// previousDone is closed when the previous response has been sent; it is nil for the first response of a connection.
--- /dev/null
+++ b/entry/intake/memory_test.go
@@ -0,0 +1,110 @@
+package intake_test
+
+import (
+	"net"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+
+	"go.uber.org/zap"
+	"gotest.tools/v3/assert"
+	"gotest.tools/v3/poll"
+
+	"ebonyrouter.dev/entry/intake"
+	"ebonyrouter.dev/entry/memory"
+)
+
+// startGuarded serves a handler on a listener with a budget and a number of connections.
+func startGuarded(t *testing.T, budget *memory.Budget, maxConns int, handler http.HandlerFunc) string {
+	t.Helper()
+	s := &intake.Server{
+		MaxBufferedBodyBytes: 1 << 10, Handler: handler, MaxHeaderBytes: 64 << 10, HeaderTimeout: 5 * time.Second, IdleTimeout: 5 * time.Second,
+		Log: zap.NewNop(), MaxPipelined: 4, Idempotent: func(r *http.Request) bool { return r.Method == http.MethodGet },
+	}
+	raw, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NilError(t, err)
+	l := &memory.Listener{Listener: raw, Budget: budget, HeaderLines: 16384, MaxConns: maxConns, Refusal: memory.RefusalHTTP}
+	done := make(chan error, 1)
+	go func() { done <- s.Serve(l) }()
+	t.Cleanup(func() {
+		assert.NilError(t, s.Close())
+		assert.ErrorIs(t, <-done, intake.ErrClosed)
+		assert.Equal(t, budget.Held(), int64(0), "memory stays reserved")
+	})
+	return raw.Addr().String()
+}
+
+func awaitHeld(t *testing.T, budget *memory.Budget, held func(int64) bool) {
+	t.Helper()
+	poll.WaitOn(t, func(poll.LogT) poll.Result {
+		if held(budget.Held()) {
+			return poll.Success()
+		}
+		return poll.Continue("%d bytes are held", budget.Held())
+	}, poll.WithTimeout(5*time.Second))
+}
+
+// Guards against heads with very many lines that exceed the budget of the process, against a refusal that is not said to be one, and
+// against a single such head that is refused in calm on the smallest host of the deployments.
+func TestHeadsWithManyLines(t *testing.T) {
+	many := "GET /many HTTP/1.1\r\nHost: a\r\n" + strings.Repeat("a:\r\n", 16000) + "\r\n"
+	small := memory.NewLimits(184, 4100).BudgetBytes
+	tests := map[string]struct {
+		budget int64
+		text   string
+		status int
+	}{
+		"ordinary":                  {1 << 20, "GET / HTTP/1.1\r\nHost: a\r\n\r\n", http.StatusOK},
+		"many lines, smallest host": {small, many, http.StatusOK},
+		"many lines, no room":       {4 << 20, many, http.StatusServiceUnavailable},
+		"too many lines":            {1 << 30, "GET / HTTP/1.1\r\n" + strings.Repeat("a:\n", 16400) + "\r\n", http.StatusRequestHeaderFieldsTooLarge},
+		"empty line":                {small, "\r\nGET / HTTP/1.1\r\nHost: a\r\n\r\n", http.StatusBadRequest},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			budget := memory.NewBudget(test.budget)
+			c := dial(t, startGuarded(t, budget, 10, func(http.ResponseWriter, *http.Request) {}))
+			c.send(test.text)
+			response := c.receive(http.MethodGet)
+			assert.Equal(t, response.status, test.status, "%s", response.body)
+			assert.Equal(t, response.close, test.status != http.StatusOK)
+		})
+	}
+}
+
+// Guards against memory of pipelined requests that is not charged while they are served, or that is charged afterwards.
+func TestPipelinedHeadsAreCharged(t *testing.T) {
+	release := make(chan struct{})
+	budget := memory.NewBudget(8 << 20)
+	c := dial(t, startGuarded(t, budget, 10, func(http.ResponseWriter, *http.Request) { <-release }))
+	c.send(strings.Repeat("GET / HTTP/1.1\r\nHost: a\r\n"+strings.Repeat("a:\r\n", 1000)+"\r\n", 4))
+	awaitHeld(t, budget, func(n int64) bool { return n > 4*1000*128 })
+	close(release)
+	for range 4 {
+		assert.Equal(t, c.receive(http.MethodGet).status, http.StatusOK)
+	}
+	awaitHeld(t, budget, func(n int64) bool { return n < 64<<10 })
+}
+
+// Guards against clients that occupy all connections of a process without sending a request, and against an end of the connection of
+// a request in progress.
+func TestIncompleteRequestsGiveWay(t *testing.T) {
+	release := make(chan struct{})
+	budget := memory.NewBudget(1 << 20)
+	address := startGuarded(t, budget, 2, func(_ http.ResponseWriter, r *http.Request) {
+		if r.URL.Path == "/wait" {
+			<-release
+		}
+	})
+	waiting := dial(t, address)
+	waiting.send("GET /wait HTTP/1.1\r\nHost: a\r\n\r\n")
+	dial(t, address).send("GET /")
+	awaitHeld(t, budget, func(n int64) bool { return n >= 32<<10 })
+	time.Sleep(600 * time.Millisecond)
+	c := dial(t, address)
+	c.send("GET / HTTP/1.1\r\nHost: a\r\n\r\n")
+	assert.Equal(t, c.receive(http.MethodGet).status, http.StatusOK)
+	close(release)
+	assert.Equal(t, waiting.receive(http.MethodGet).status, http.StatusOK)
+}
--- /dev/null
+++ b/entry/memory/listener.go
@@ -0,0 +1,144 @@
+package memory
+
+import (
+	"cmp"
+	"net"
+	"slices"
+	"sync"
+	"sync/atomic"
+	"time"
+)
+
+const (
+	// evictAfter is the time without a complete request after which a connection gives way to a new one. Callers send their request
+	// as soon as they are connected, which takes less than two round trips of 16 ms.
+	evictAfter = 500 * time.Millisecond
+	// evictIdleAfter is the time since its last request after which a connection that has served one gives way.
+	evictIdleAfter = 10 * time.Second
+	// evictInterval is the time between two searches for connections that give way, and evictMax the number of them in one search.
+	evictInterval = 20 * time.Millisecond
+	evictMax      = 16
+	// refuseTimeout limits the write of a refusal. It does not block, because the socket's buffer is empty.
+	refuseTimeout = 10 * time.Millisecond
+)
+
+// RefusalHTTP answers a connection that is refused. It states that its request was not run.
+const RefusalHTTP = "HTTP/1.1 503 Service Unavailable\r\nConnection: close\r\nContent-Length: 0\r\nRetry-After: 1\r\n\r\n"
+
+// Listener bounds the connections of another listener and charges them to a budget. When there are too many, those without a
+// complete request give way to new ones, and others are refused. Its fields must not be changed after the first Accept.
+type Listener struct {
+	net.Listener
+	// Budget is charged for the connections.
+	Budget *Budget
+	// HeaderLines is the largest number of lines of a request head.
+	HeaderLines int64
+	// MaxConns is the largest number of open connections.
+	MaxConns int
+	// Refusal is written to a connection that is refused, or empty.
+	Refusal string
+	// WatchHeads makes the connections count the request heads for a server of net/http, whose ConnState must be TrackState.
+	WatchHeads bool
+
+	conns    map[*Conn]struct{}
+	evicted  atomic.Int64
+	lastScan time.Time
+	mutex    sync.Mutex
+	refused  atomic.Int64
+}
+
+var _ net.Listener = (*Listener)(nil)
+
+// Accept implements net.Listener. The connections are of type *Conn.
+func (l *Listener) Accept() (net.Conn, error) {
+	for {
+		raw, err := l.Listener.Accept()
+		if err != nil {
+			return nil, err
+		}
+		if c := l.admit(raw, time.Now()); c != nil {
+			return c, nil
+		}
+		l.refused.Add(1)
+		if l.Refusal != "" {
+			_ = raw.SetWriteDeadline(time.Now().Add(refuseTimeout))
+			_, _ = raw.Write([]byte(l.Refusal))
+		}
+		_ = raw.Close()
+	}
+}
+
+// Evicted returns the number of connections that gave way to others.
+func (l *Listener) Evicted() int64 { return l.evicted.Load() }
+
+// Open returns the number of open connections.
+func (l *Listener) Open() int {
+	l.mutex.Lock()
+	defer l.mutex.Unlock()
+	return len(l.conns)
+}
+
+// Refused returns the number of connections that were refused.
+func (l *Listener) Refused() int64 { return l.refused.Load() }
+
+// admit returns the connection, or nil if it is refused.
+func (l *Listener) admit(raw net.Conn, now time.Time) *Conn {
+	if l.Open() >= l.MaxConns {
+		l.evict(now)
+	}
+	c := newConn(raw, l, now)
+	if !c.account.Reserve(connectionBytes) {
+		return nil
+	}
+	l.mutex.Lock()
+	full := len(l.conns) >= l.MaxConns
+	if !full {
+		if l.conns == nil {
+			l.conns = map[*Conn]struct{}{}
+		}
+		l.conns[c] = struct{}{}
+	}
+	l.mutex.Unlock()
+	if full {
+		c.account.Close()
+		return nil
+	}
+	return c
+}
+
+// evict closes the connections that have waited longest without a complete request. If there are none, it closes those that have
+// been idle for long.
+func (l *Listener) evict(now time.Time) {
+	l.mutex.Lock()
+	if now.Sub(l.lastScan) < evictInterval {
+		l.mutex.Unlock()
+		return
+	}
+	l.lastScan = now
+	var fresh, idle []*Conn
+	for c := range l.conns {
+		quiet := c.quiet(now)
+		switch {
+		case quiet < evictAfter:
+		case !c.served.Load():
+			fresh = append(fresh, c)
+		case quiet >= evictIdleAfter:
+			idle = append(idle, c)
+		}
+	}
+	l.mutex.Unlock()
+	if len(fresh) == 0 {
+		fresh = idle
+	}
+	slices.SortFunc(fresh, func(a, b *Conn) int { return cmp.Compare(a.since.Load(), b.since.Load()) })
+	for _, c := range fresh[:min(len(fresh), evictMax)] {
+		l.evicted.Add(1)
+		c.giveWay()
+	}
+}
+
+func (l *Listener) remove(c *Conn) {
+	l.mutex.Lock()
+	defer l.mutex.Unlock()
+	delete(l.conns, c)
+}
--- a/entry/process.go
+++ b/entry/process.go
@@ -28,6 +28,7 @@
 	"ebonyrouter.dev/entry/lease"
 	"ebonyrouter.dev/entry/limit"
 	"ebonyrouter.dev/entry/lookup"
+	"ebonyrouter.dev/entry/memory"
 	"ebonyrouter.dev/entry/proxy"
 	"ebonyrouter.dev/entry/retry"
 	"ebonyrouter.dev/entry/route"
@@ -53,6 +54,7 @@
 	gate           *gate
 	grantor        *lease.Grantor
 	holder         *lease.Holder
+	limits         memory.Limits
 	hosts          *agent.Hosts
 	limiter        *limit.Limiter
 	links          *links.Manager
@@ -60,6 +62,7 @@
 	log            *zap.Logger
 	loader         *lookup.Loader
 	lookup         *lookup.Ranker
+	memory         *memory.Reporter
 	messages       *pubsub.Messenger
 	meter          *meter.Meter
 	options        options
@@ -82,9 +85,10 @@
 	p := &process{hosts: &agent.Hosts{}, log: log, meter: meter.New(), options: o, settings: config.NewHolder(), timer: clock}
 	p.state.Store(core.HostStarting)
 	p.settings.Subscribe(p.deadlines.add)
+	p.newMemory()
 	p.links, err = links.New(clock, log, links.WithHandlerLimit(dedup.MaxLinkRequests),
 		links.WithAdvertise(*o.Link),
-		links.WithListen(o.Listen(*o.Link)), links.WithSource(o.Source()), links.WithToken(*o.Token))
+		links.WithMaxConns(p.limits.Links), links.WithListen(o.Listen(*o.Link)), links.WithSource(o.Source()), links.WithToken(*o.Token))
 	if err != nil {
 		return nil, errors.Trace(err)
 	}
@@ -180,6 +184,7 @@
 func (p *process) newServers() error {
 	var err error
 	p.admin, err = admin.New(p.log, p.options.Listen(*p.options.Admin), p.registerRoutes,
+		admin.WithListener(func(l net.Listener) net.Listener { return p.guard(l, "admin", p.limits.Other) }, memory.TrackState),
 		admin.WithMetrics(p.meter.Handler()), admin.WithReady(p.ready), admin.WithToken(*p.options.Token))
 	if err != nil {
 		return errors.Trace(err)
@@ -192,10 +197,13 @@
 	if err != nil {
 		return errors.Trace(err)
 	}
-	p.callerServer = &http.Server{Handler: p.gate, ReadHeaderTimeout: readHeaderTimeout}
+	p.callerListener = p.guard(p.callerListener, "callers", p.limits.Callers)
+	p.relayListener = p.guard(p.relayListener, "relay", p.limits.Links)
+	p.memory.Export(p.meter)
+	p.callerServer = &http.Server{ConnState: memory.TrackState, Handler: p.gate, ReadHeaderTimeout: readHeaderTimeout}
 	// Peers keep idle connections for 20 s. If this server closed them earlier, it would race with the next request.
 	p.relayServer = &http.Server{
-		Handler: p.proxy.RelayHandler(), IdleTimeout: relayIdleTimeout, ReadHeaderTimeout: readHeaderTimeout,
+		ConnState: memory.TrackState, Handler: p.proxy.RelayHandler(), IdleTimeout: relayIdleTimeout, ReadHeaderTimeout: readHeaderTimeout,
 	}
 	return nil
 }
@@ -249,6 +257,7 @@
 	failures := make(chan error, fallibleTasks)
 	var group sync.WaitGroup
 	group.Go(func() { p.agent.Run(ctx) })
+	group.Go(func() { p.memory.Run(ctx) })
 	group.Go(func() { p.holder.Run(ctx) })
 	group.Go(func() { p.grantor.Run(ctx) })
 	group.Go(func() { p.watchReady(ctx) })
