Show that buffered bodies exhaust the memory of a host

TestCrowdOfBodies sends pipelined, incomplete and large bodies and leaves responses unread, with the limits and checks of TestCrowd.

The bodies that the intake and the proxy keep in memory are not counted.

--- a/e2e/crowd_host_test.go
+++ b/e2e/crowd_host_test.go
@@ -40,14 +40,14 @@
 }
 
 // startPlatform starts a store, targets and the platform program with the limits crowdMemoryMB and crowdDescriptors. It returns the
-// addresses on which the process listens by their names.
-func startPlatform(t *testing.T) (*crowdHost, map[string]string) {
+// addresses on which the process listens by their names. bodyBytes is the size of a response, or 0.
+func startPlatform(t *testing.T, bodyBytes int) (*crowdHost, map[string]string) {
 	t.Helper()
 	store, record := stand.NewStore(), stand.NewRecord()
 	storeAddress := serve(t, store.Handler())
 	for i := range 4 {
 		target := &stand.Target{
-			Address: fleet.FreeAddress(t), ID: fmt.Sprintf("i-%d", i), Service: "board", Slots: 4, Zone: "north-a",
+			Address: fleet.FreeAddress(t), ID: fmt.Sprintf("i-%d", i), Service: "board", Slots: 4, Zone: "north-a", BodyBytes: bodyBytes,
 			Work: func() time.Duration { return 200 * time.Millisecond },
 		}
 		assert.NilError(t, target.Start(record, store))
@@ -163,13 +163,19 @@
 // play lets many clients connect to an address at the same time, and again after each end of a connection. It fails the test if the
 // process exits, exceeds its memory or its descriptors, or does not answer ordinary requests afterwards.
 func (h *crowdHost) play(address string, connections int, act client) {
+	h.t.Helper()
+	h.playReading(address, connections, act, true)
+}
+
+// playReading is play for clients that read the responses, or that read nothing and have the smallest receive buffer.
+func (h *crowdHost) playReading(address string, connections int, act client, read bool) {
 	h.t.Helper()
 	stop := make(chan struct{})
 	var tasks sync.WaitGroup
 	for range connections {
 		tasks.Go(func() {
 			for !isClosed(stop) {
-				talk(address, act, stop)
+				talk(address, act, read, stop)
 			}
 		})
 	}
@@ -193,8 +199,9 @@
 	h.awaitAnswers()
 }
 
-// talk opens one connection, lets a client write to it and discards the responses, until the connection ends or stop is closed.
-func talk(address string, act client, stop chan struct{}) {
+// talk opens one connection and lets a client write to it, until the connection ends or stop is closed. If read is set, it discards the
+// responses.
+func talk(address string, act client, read bool, stop chan struct{}) {
 	conn, err := net.DialTimeout("tcp", address, time.Second)
 	if err != nil {
 		time.Sleep(10 * time.Millisecond)
@@ -209,7 +216,13 @@
 		_ = conn.Close()
 	}()
 	var reading sync.WaitGroup
+	if tcp, ok := conn.(*net.TCPConn); ok && !read {
+		_ = tcp.SetReadBuffer(1)
+	}
 	reading.Go(func() {
+		if !read {
+			return
+		}
 		_, _ = io.Copy(io.Discard, conn)
 		_ = conn.Close()
 	})
--- a/e2e/crowd_test.go
+++ b/e2e/crowd_test.go
@@ -1,6 +1,10 @@
 package e2e_test
 
-import "testing"
+import (
+	"strconv"
+	"strings"
+	"testing"
+)
 
 // Guards against a process that exceeds the memory or the descriptors of its host, exits or stops answering because of clients that send
 // requests of legal size with very many lines, endless heads or endless empty lines. These tests run one at a time and apart from other
@@ -33,7 +37,7 @@
 	}
 	for name, test := range tests {
 		t.Run(name, func(t *testing.T) {
-			h, addresses := startPlatform(t)
+			h, addresses := startPlatform(t, 0)
 			h.play(addresses[test.address], test.connections, test.act)
 		})
 	}
@@ -64,3 +68,29 @@
 		})
 	}
 }
+
+// Guards against a process that exceeds the memory of its host because of clients that send many bodies at the same time without
+// their ends, or that do not read their responses.
+func TestCrowdOfBodies(t *testing.T) {
+	const bodyBytes = 60 << 10
+	complete := "POST /r/x HTTP/1.1\r\nHost: a.example\r\nContent-Length: " + strconv.Itoa(bodyBytes) + "\r\n\r\n" + strings.Repeat("x", bodyBytes)
+	tests := map[string]struct {
+		connections int
+		act         client
+		read        bool
+		bodyBytes   int
+	}{
+		"pipelined bodies":            {150, once([]byte(complete), 20), true, 0},
+		"bodies never ended":          {500, trickle(complete[:len(complete)-100], ""), true, 0},
+		"responses never read":        {150, once([]byte(crowdLine+"\r\n"), 16), false, bodyBytes},
+		"large responses never read":  {150, once([]byte(crowdLine+"\r\n"), 16), false, 4 << 20},
+		"large uploads, never ended":  {150, once([]byte("POST /r/x HTTP/1.1\r\nHost: a.example\r\nContent-Length: 60000000\r\n\r\n"+strings.Repeat("x", 1<<20)), 1), true, 0},
+		"pipelined, responses unread": {150, once([]byte(complete), 20), false, bodyBytes},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			h, addresses := startPlatform(t, test.bodyBytes)
+			h.playReading(addresses["front"], test.connections, test.act, test.read)
+		})
+	}
+}
--- a/soak/stand/target.go
+++ b/soak/stand/target.go
@@ -33,6 +33,8 @@
 	Service string
 	Slots   int
 	Zone    string
+	// BodyBytes is the size of a response body; 0 stands for the body that Body returns.
+	BodyBytes int
 	// Work is the duration of a request.
 	Work func() time.Duration
 
@@ -132,6 +134,9 @@
 	header.Set("Ebonyrouter-Response-Stamp", stamp(t.ID, id))
 	header.Set("Ebonyrouter-Server-Load", t.load())
 	body := Body(id)
+	if t.BodyBytes > 0 {
+		body = make([]byte, t.BodyBytes)
+	}
 	header.Set("Content-Length", strconv.Itoa(len(body)))
 	_, _ = w.Write(body)
 }
