Charge the bodies that are kept in memory to the budget

The intake keeps the body of each pipelined request up to 64 KiB, and the proxy a copy of it; neither was counted. Both copies are now reserved before the body is read; without room the request is refused with 503 and the connection closes. A body of known length gets a buffer of its size instead of one of up to twice the size. The count moves to one struct, so that conn.go changes little.

--- a/entry/intake/memory_test.go
+++ b/entry/intake/charge_test.go
@@ -1,6 +1,8 @@
 package intake_test
 
 import (
+	"fmt"
+	"io"
 	"net"
 	"net/http"
 	"strings"
@@ -108,3 +110,34 @@
 	close(release)
 	assert.Equal(t, waiting.receive(http.MethodGet).status, http.StatusOK)
 }
+
+// Guards against bodies of pipelined requests that are kept in memory beyond the budget of the process, and against a refusal without a
+// response or after the request was run.
+func TestBodiesAreCharged(t *testing.T) {
+	release := make(chan struct{})
+	budget := memory.NewBudget(64 << 10)
+	address := startGuarded(t, budget, 2, func(_ http.ResponseWriter, r *http.Request) {
+		_, _ = io.Copy(io.Discard, r.Body)
+		if r.URL.Path == "/wait" {
+			<-release
+		}
+	})
+	request := "GET %s HTTP/1.1\r\nHost: a\r\nContent-Length: 1000\r\n\r\n" + strings.Repeat("x", 1000)
+	c := dial(t, address)
+	c.send(strings.Repeat(fmt.Sprintf(request, "/wait"), 4))
+	awaitHeld(t, budget, func(n int64) bool { return n >= 16<<10+4*2*1000 })
+	refused := dial(t, address)
+	close(release)
+	for range 4 {
+		assert.Equal(t, c.receive(http.MethodGet).status, http.StatusOK)
+	}
+	awaitHeld(t, budget, func(n int64) bool { return n == 2*16<<10 })
+	// The head has room, the body has not.
+	filler := budget.Total() - budget.Held() - 2500
+	assert.Assert(t, budget.Reserve(filler))
+	refused.send(fmt.Sprintf(request, "/"))
+	response := refused.receive(http.MethodGet)
+	assert.Equal(t, response.status, http.StatusServiceUnavailable)
+	assert.Assert(t, response.close)
+	budget.Release(filler)
+}
--- a/entry/intake/conn.go
+++ b/entry/intake/conn.go
@@ -36,20 +36,14 @@
 
 // conn is one connection of a caller.
 type conn struct {
-	// account is charged for the requests that are being read or served.
-	account *memory.Account
-	cancel  context.CancelFunc
-	ctx     context.Context //nolint:containedctx // Requests inherit it; it ends with the connection.
+	cancel context.CancelFunc
+	ctx    context.Context //nolint:containedctx // Requests inherit it; it ends with the connection.
 	// ended means that the last response is being sent or the connection has failed; no further request is served.
 	ended bool
 	// writeClosed means that the last response was written and the connection is closed for writing.
 	writeClosed bool
-	// guarded is the socket if its listener bounds the memory of connections, or nil.
-	guarded *memory.Conn
-	// head limits the size of request heads, and headMemory counts the memory that they need.
+	// head limits the size of request heads.
 	head             *heads.Reader
-	headMemory       memory.Head
-	watchHead        func(data []byte) error
 	lastExchange     *exchange
 	mutex            sync.Mutex
 	pendingResponses int
@@ -62,8 +56,10 @@
 	// closeRequested means that the connection closes after the responses to the requests of which a part has been read.
 	closeRequested bool
 	server         *Server
-	tasks          sync.WaitGroup
-	writer         *bufio.Writer
+	// charged counts the memory of the requests.
+	charged charge
+	tasks   sync.WaitGroup
+	writer  *bufio.Writer
 }
 
 func newConn(server *Server, socket net.Conn) *conn {
@@ -71,7 +67,7 @@
 	c.ctx, c.cancel = context.WithCancel(context.Background())
 	c.head = &heads.Reader{Source: socket, TooLarge: errHeadTooLarge}
 	c.reader = bufio.NewReader(c.head)
-	c.watchMemory(socket)
+	c.charged.init(socket, c.evict)
 	return c
 }
 
@@ -98,13 +94,12 @@
 	}
 	c.readingRequest = false
 	e := newExchange(c, request)
-	e.heldBytes = c.takeHead()
+	e.chargedBytes = c.charged.beginServing(c.pendingResponses)
 	if c.lastExchange != nil {
 		e.previousDone = c.lastExchange.done
 	}
 	c.lastExchange = e
 	c.pendingResponses++
-	c.beginServing()
 	return e
 }
 
@@ -113,9 +108,9 @@
 func (c *conn) completeRequest(closeWanted bool) bool {
 	c.mutex.Lock()
 	defer c.mutex.Unlock()
+	c.charged.endServing(c.pendingResponses)
 	c.closeRequested = c.closeRequested || closeWanted
 	c.pendingResponses--
-	c.endServing()
 	if c.closeRequested && c.pendingResponses == 0 {
 		c.ended = true
 	}
@@ -147,7 +142,7 @@
 	c.beginRequest()
 	c.head.Begin(c.server.MaxHeaderBytes - int64(c.reader.Buffered()))
 	_ = c.socket.SetReadDeadline(time.Now().Add(c.server.HeaderTimeout))
-	if err := c.beginHead(); err != nil {
+	if err := c.charged.beginHead(c.reader, c.head); err != nil {
 		return nil, err
 	}
 	request, err := http.ReadRequest(c.reader)
@@ -238,7 +233,7 @@
 		}
 	}
 	c.tasks.Wait()
-	c.account.Close()
+	c.charged.account.Close()
 	c.cancel()
 	if c.isEnded() {
 		_ = c.socket.SetReadDeadline(time.Now().Add(discardTime))
@@ -265,13 +260,13 @@
 		close(e.done)
 		return false
 	}
-	if !e.readBody(c.server.MaxBufferedBodyBytes) {
+	if !c.chargeBody(e) || !e.readBody(c.server.MaxBufferedBodyBytes) {
 		return false
 	}
 	c.tasks.Go(func() {
 		defer func() { <-c.pipelineTokens }()
 		e.run()
-		c.account.Release(e.heldBytes)
+		c.charged.release(e.chargedBytes)
 	})
 	if e.streamed {
 		<-e.done
@@ -283,7 +278,7 @@
 // handleReadError ends the connection after a failure to read a request head. It sends an error response to a malformed
 // request and cancels the requests of a caller that has disconnected.
 func (c *conn) handleReadError(cause error) {
-	c.account.Release(c.takeHead())
+	c.charged.release(c.charged.takeHead())
 	var timeout net.Error
 	switch {
 	case c.isEnded():
@@ -310,10 +305,5 @@
 	if e == nil {
 		return
 	}
-	e.header.Set("Connection", "close")
-	if status == http.StatusServiceUnavailable {
-		e.header.Set("Retry-After", retryAfterSeconds)
-	}
-	http.Error(e, cause.Error(), status)
-	e.finish()
+	e.refuse(status, cause)
 }
--- a/entry/intake/exchange.go
+++ b/entry/intake/exchange.go
@@ -42,9 +42,9 @@
 	bodySent      int64
 	// headWritten means that the response head was written to the connection.
 	headWritten bool
-	// heldBytes is what the request's head is charged to the connection's account.
-	heldBytes int64
-	status    int
+	// chargedBytes is what the request is charged to the connection's account.
+	chargedBytes int64
+	status       int
 	// streamed means that the handler reads the request body from the connection.
 	streamed bool
 	// previousDone is closed when the previous response has been sent; it is nil for the first response of a connection.
@@ -248,6 +248,10 @@
 	}
 	_ = e.conn.socket.SetReadDeadline(time.Now().Add(e.conn.server.IdleTimeout))
 	var buffered bytes.Buffer
+	if r.ContentLength > 0 {
+		// The exact size avoids buffers that are twice as large as the body.
+		buffered.Grow(int(r.ContentLength) + bytes.MinRead)
+	}
 	_, err := io.CopyN(&buffered, r.Body, limit)
 	_ = e.conn.socket.SetReadDeadline(time.Time{})
 	switch {
