Bound the bytes of bodies in flight to a target

A host sent a target any number of large bodies at the same time, and a target whose memory they exceed crashes. The bodies that one host has in flight to one target are now at most twice the largest permitted body (request_body_bytes, maxBodyBytes of the platform), 64 MiB by default on the platform, thus 128 MiB. Further ones wait for half of their remaining time and are then tried elsewhere or refused as not run (503, code 3002). Requests without a body are not counted.

--- a/entry/proxy/attempt.go
+++ b/entry/proxy/attempt.go
@@ -78,12 +78,19 @@
 		req.addAvoidTarget(target.Target)
 		return p.connectFailure(ctx, req, target.Address, err, grant.Release)
 	}
+	release, permitted := p.boundBytes(ctx, req, c, grant.Release)
+	if !permitted {
+		c.pool.put(c)
+		grant.Release(core.Outcome{})
+		req.addAvoidTarget(target.Target)
+		return &attemptResult{failure: notRun(codes.QueueFull, "bodies in flight to the target reach their limit"), ran: core.RanNo, bodyUnread: true}
+	}
 	now := p.Timer.Now()
 	c.begin(req.deadline, req.attemptDeadline(now), grant.ValidUntil)
 	c.markTarget()
 	out := req.outgoingRequest(now)
 	p.prepareTargetHeaders(req, out, target)
-	result := p.exchange(ctx, req, c, out, grant.Release)
+	result := p.exchange(ctx, req, c, out, release)
 	p.interpretTargetResponse(req, result)
 	p.prefetch(req, result)
 	if result.shed || result.retryable || (result.failure != nil && !result.closedWhileIdle) {
--- a/entry/proxy/pool.go
+++ b/entry/proxy/pool.go
@@ -18,7 +18,9 @@
 
 // pool holds the connections to one address and enforces the connection limit.
 type pool struct {
-	address      string
+	address string
+	// flow bounds the bytes in flight.
+	flow         flow
 	idle         []*conn
 	limit        int
 	mutex        sync.Mutex
