Show that requests in progress and unread bytes exhaust the memory of a host

TestCrowdUnread lets 800 clients send more ordinary pipelined requests than a host serves, larger uploads than targets take, and requests whose responses they do not read, with 96 MB and 2,048 descriptors. It checks the resident memory together with what the kernel holds for the callers' port, because the platform counts received bytes.

--- a/e2e/crowd_host_test.go
+++ b/e2e/crowd_host_test.go
@@ -33,15 +33,17 @@
 
 // crowdHost is a running process that a crowd of clients connects to.
 type crowdHost struct {
+	// descriptors is the number of descriptors that the process may open.
+	descriptors int
 	// ordinary are the URLs of ordinary requests.
 	ordinary []string
 	process  *fleet.Process
 	t        *testing.T
 }
 
-// startPlatform starts a store, targets and the platform program with the limits crowdMemoryMB and crowdDescriptors. It returns the
+// startPlatform starts a store, targets and the platform program with crowdMemoryMB and a number of descriptors. It returns the
 // addresses on which the process listens by their names. bodyBytes is the size of a response, or 0.
-func startPlatform(t *testing.T, bodyBytes int) (*crowdHost, map[string]string) {
+func startPlatform(t *testing.T, bodyBytes, descriptors int) (*crowdHost, map[string]string) {
 	t.Helper()
 	store, record := stand.NewStore(), stand.NewRecord()
 	storeAddress := serve(t, store.Handler())
@@ -70,7 +72,7 @@
 	content, err := json.Marshal(map[string]any{
 		"self": map[string]any{
 			"node": "h1", "ip": ip, "zone": "north-a", "region": "north", "bootstrap": true,
-			"limits": map[string]any{"cpuShare": 1, "cores": 1, "memoryMb": crowdMemoryMB, "maxFds": crowdDescriptors, "linkMbps": 100},
+			"limits": map[string]any{"cpuShare": 1, "cores": 1, "memoryMb": crowdMemoryMB, "maxFds": descriptors, "linkMbps": 100},
 		},
 		"network": map[string]any{
 			"listen": map[string]any{
@@ -84,7 +86,7 @@
 	assert.NilError(t, err)
 	path := filepath.Join(t.TempDir(), "node.json")
 	assert.NilError(t, os.WriteFile(path, content, 0o600))
-	h := &crowdHost{t: t, ordinary: []string{
+	h := &crowdHost{descriptors: descriptors, t: t, ordinary: []string{
 		addresses["front"] + "/r/x", addresses["ready"] + "/api/ready",
 		addresses["directory"] + "/api/resolve?host=a.example&zone=north-a", addresses["metrics"] + "/metrics",
 	}}
@@ -103,7 +105,7 @@
 		HostsPerZone: 1, Regions: []string{"north"}, Zones: 1, Services: []fleet.ServiceSpec{{Name: "board", ServiceMs: 200, Slots: 4, Targets: 4}},
 	})
 	host := d.Hosts[0]
-	h := &crowdHost{t: t, process: host.Entry, ordinary: []string{
+	h := &crowdHost{descriptors: crowdDescriptors, t: t, process: host.Entry, ordinary: []string{
 		host.CallerAddress + "/r/x", host.EntryAdmin + "/readyz",
 	}}
 	h.awaitAnswers()
@@ -195,7 +197,7 @@
 	assert.NilError(h.t, err, "the process has ended")
 	h.t.Logf("peak memory %.1f MB, most open descriptors %d", float64(peak)/(1<<20), descriptors)
 	assert.Check(h.t, peak <= crowdMemoryMB<<20, "peak memory %d MB", peak>>20)
-	assert.Check(h.t, descriptors <= crowdDescriptors, "%d open descriptors", descriptors)
+	assert.Check(h.t, descriptors <= h.descriptors, "%d open descriptors", descriptors)
 	h.awaitAnswers()
 }
 
--- a/e2e/crowd_test.go
+++ b/e2e/crowd_test.go
@@ -4,6 +4,11 @@
 	"strconv"
 	"strings"
 	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"ebonyrouter.dev/fleet"
 )
 
 // Guards against a process that exceeds the memory or the descriptors of its host, exits or stops answering because of clients that send
@@ -37,7 +42,7 @@
 	}
 	for name, test := range tests {
 		t.Run(name, func(t *testing.T) {
-			h, addresses := startPlatform(t, 0)
+			h, addresses := startPlatform(t, 0, crowdDescriptors)
 			h.play(addresses[test.address], test.connections, test.act)
 		})
 	}
@@ -89,8 +94,46 @@
 	}
 	for name, test := range tests {
 		t.Run(name, func(t *testing.T) {
-			h, addresses := startPlatform(t, test.bodyBytes)
+			h, addresses := startPlatform(t, test.bodyBytes, crowdDescriptors)
 			h.playReading(addresses["front"], test.connections, test.act, test.read)
 		})
 	}
 }
+
+// Guards against a process that exceeds the memory of its host together with the bytes that the kernel holds for it: bytes received but
+// not yet read count, and many clients send more than the process reads or read less than it sends.
+func TestCrowdUnread(t *testing.T) {
+	const connections, descriptors = 800, 2048
+	request := crowdLine + "\r\n"
+	tests := map[string]struct {
+		act       client
+		read      bool
+		bodyBytes int
+	}{
+		"more requests than are read":     {repeat("", request), true, 0},
+		"more uploads than are forwarded": {repeat("POST /r/x HTTP/1.1\r\nHost: a.example\r\nContent-Length: 60000000\r\n\r\n", "x"), true, 0},
+		"responses never read":            {once([]byte(request), 16), false, 1 << 20},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			h, addresses := startPlatform(t, test.bodyBytes, descriptors)
+			stop, most := make(chan struct{}), make(chan int64)
+			go func() {
+				largest := int64(0)
+				for ; !isClosed(stop); time.Sleep(20 * time.Millisecond) {
+					received, sent, err := fleet.QueuedBytes(addresses["front"])
+					rss, errRSS := h.process.RSS()
+					if err == nil && errRSS == nil {
+						largest = max(largest, rss+received+sent)
+					}
+				}
+				most <- largest
+			}()
+			h.playReading(addresses["front"], connections, test.act, test.read)
+			close(stop)
+			largest := <-most
+			t.Logf("most resident and queued bytes %.1f MB", float64(largest)/(1<<20))
+			assert.Check(t, largest <= crowdMemoryMB<<20, "%d MB", largest>>20)
+		})
+	}
+}
