Treat a status below 100 as a broken response

readHead took each status below 200, except 101, for an informational response and passed it on, so that callers received the statuses 1, 20 and 99 as answers, and successes behind status 000.

--- a/entry/proxy/conn.go
+++ b/entry/proxy/conn.go
@@ -26,6 +26,9 @@
 // errProtocolSwitched means that the upstream switched protocols, although no request asks for it.
 const errProtocolSwitched = errors.ConstError("upstream switched protocols unasked")
 
+// errNoStatus means that the status of a response is below 100, which none can have.
+const errNoStatus = errors.ConstError("upstream sent a status below 100")
+
 // maxDiscardedBytes limits how much is read of the response to a request that was given up.
 const maxDiscardedBytes = 64 << 10
 
@@ -231,6 +234,10 @@
 		if response.StatusCode == http.StatusSwitchingProtocols {
 			return nil, nil, errProtocolSwitched
 		}
+		if response.StatusCode < http.StatusContinue {
+			// What follows may be of any response, so it is not read. net/http rejects statuses of other than three characters.
+			return nil, nil, errNoStatus
+		}
 		if response.StatusCode >= http.StatusOK {
 			c.head.End()
 			c.recordKeepAlive(response.Header)
