Charge the proxy's bodies and prefetched responses to the budget

The proxy keeps bodies up to 64 KiB (1 MiB with an idempotency key) and up to 32 KiB of a response for each request; the entry program counted neither, the platform only the bodies. proxy.Config.Memory bounds both: a body without room is refused as not run (503, code 3002), a response without room is streamed instead of prefetched. What an attempt reserves after the end of its request is returned at once. Connections get 20% of the memory instead of 25%, which leaves more for the queues of the kernel; links to other hosts are bounded by the descriptors only.

--- a/entry/intake/charge.go
+++ b/entry/intake/charge.go
@@ -9,12 +9,8 @@
 	"ebonyrouter.dev/entry/memory"
 )
 
-const (
-	// retryAfterSeconds is the Retry-After of a request that is refused for lack of memory.
-	retryAfterSeconds = "1"
-	// bodyCopies is the number of copies of a buffered body: that of the connection and that of the handler.
-	bodyCopies = 2
-)
+// retryAfterSeconds is the Retry-After of a request that is refused for lack of memory.
+const retryAfterSeconds = "1"
 
 // charge counts the memory that the requests of a connection need, in the budget of its listener. Without a budget it counts nothing.
 type charge struct {
@@ -91,7 +87,6 @@
 	if limit := c.server.MaxBufferedBodyBytes; size < 0 || size > limit {
 		size = limit
 	}
-	size *= bodyCopies
 	if c.charged.account.Reserve(size) {
 		e.chargedBytes += size
 		return true
--- a/entry/memory/limits.go
+++ b/entry/memory/limits.go
@@ -22,7 +22,7 @@
 // and for memory that is not collected yet.
 const (
 	budgetPercent      = 33
-	connectionsPercent = 25
+	connectionsPercent = 20
 	// socketPercent is the measure of the socket buffers of one port; see limitBuffers.
 	socketPercent = 4
 	// softLimitPercent is the part from which the garbage collector runs more often than the growth of the heap demands. Without it, a
@@ -66,12 +66,12 @@
 		descriptors = systemDescriptors()
 	}
 	memory := int64(memoryMB) * megabyte
+	// Links are not bounded by the memory, because hosts open one for each other and send little.
 	sockets := max(0, descriptors-fileDescriptors)
-	sockets = int(min(int64(sockets), memory/wholePercent*connectionsPercent/connectionBytes))
-	part := func(percent int) int { return max(minConnections, sockets*percent/wholePercent) }
+	affordable := int(min(int64(sockets), memory/wholePercent*connectionsPercent/connectionBytes))
 	return Limits{
-		BudgetBytes: memory / wholePercent * budgetPercent, Callers: part(callersPercent), Links: part(linksPercent),
-		Lookups: part(lookupsPercent), Other: part(otherPercent), HeaderLines: maxHeaderLines,
+		BudgetBytes: memory / wholePercent * budgetPercent, Callers: part(affordable, callersPercent), Links: part(sockets, linksPercent),
+		Lookups: part(affordable, lookupsPercent), Other: part(affordable, otherPercent), HeaderLines: maxHeaderLines,
 		SocketBytes: memory / wholePercent * socketPercent, SoftBytes: memory / wholePercent * softLimitPercent,
 	}
 }
@@ -79,6 +79,11 @@
 // minConnections is the smallest limit of a listener.
 const minConnections = 8
 
+// part returns a percentage of a number of connections.
+func part(of, percent int) int {
+	return max(minConnections, of*percent/wholePercent)
+}
+
 // SetSoftLimit sets the soft memory limit of the Go runtime, unless the environment variable GOMEMLIMIT has set one.
 func (l Limits) SetSoftLimit() {
 	if debug.SetMemoryLimit(-1) == math.MaxInt64 {
--- a/entry/process.go
+++ b/entry/process.go
@@ -169,6 +169,7 @@
 		Feedback: p.router,
 		Load:     p.limiter,
 		Log:      p.log,
+		Memory:   p.memory.Budget,
 		Observer: meter.NewObserver(p.meter),
 		Router:   p.router,
 		Self:     p.registration(),
--- a/entry/proxy/config.go
+++ b/entry/proxy/config.go
@@ -23,6 +23,8 @@
 	// LogRequests logs one line for each finished request.
 	LogRequests bool
 	Observer    core.Observer
+	// Memory bounds the bodies and the parts of responses that are held; nil means unbounded.
+	Memory core.MemoryBudget
 	// PrefetchBytes is the part of a response that is read before its head is sent to the caller; 0 streams responses
 	// immediately.
 	PrefetchBytes int64
--- a/entry/proxy/prefetch.go
+++ b/entry/proxy/prefetch.go
@@ -20,11 +20,19 @@
 }
 
 // prefetch reads up to PrefetchBytes of a response before its head is sent to the caller. If the response is truncated
-// within these bytes, another attempt or an error response can replace it.
+// within these bytes, another attempt or an error response can replace it. A response for which there is no memory is not prefetched.
 func (p *Proxy) prefetch(req *request, result *attemptResult) {
 	if p.PrefetchBytes <= 0 || result.failure != nil || result.shed {
 		return
 	}
+	size := p.PrefetchBytes
+	if length := result.response.ContentLength; length >= 0 {
+		size = min(size, length)
+	}
+	if !p.reserve(req, size) {
+		// Without memory the response is streamed; if it ends early, the caller's connection does too.
+		return
+	}
 	body := result.response.Body
 	var prefix bytes.Buffer
 	_, err := io.CopyN(&prefix, body, p.PrefetchBytes)
--- a/entry/proxy/request.go
+++ b/entry/proxy/request.go
@@ -4,6 +4,7 @@
 	"net/http"
 	"slices"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"ebonyrouter.dev/core"
@@ -12,6 +13,8 @@
 
 // request is the state of a caller's or relayed request while it is served.
 type request struct {
+	// heldBytes is what is reserved for the request.
+	heldBytes   atomic.Int64
 	affinityKey string
 	// attempts is the number of attempts made so far.
 	attempts     int
--- a/entry/proxy/serve.go
+++ b/entry/proxy/serve.go
@@ -124,6 +124,9 @@
 	if req.incoming.ContentLength == 0 {
 		return nil
 	}
+	if !p.reserve(req, req.bufferedBytes()) {
+		return notRun(codes.QueueFull, "no memory for the request body")
+	}
 	controller := http.NewResponseController(req.writer)
 	wallDeadline := time.Now().Add(req.deadline.Sub(p.Timer.Now()))
 	_ = controller.SetReadDeadline(wallDeadline)
@@ -177,6 +180,7 @@
 	p.inFlight.Add(1)
 	defer p.inFlight.Add(-1)
 	req, fail := p.parse(w, in, relayed)
+	defer p.releaseAll(req)
 	defer p.observe(req, relayed)
 	if fail != nil {
 		p.writeError(req, fail)
