--- a/entry/memory/buffers.go
+++ b/entry/memory/buffers.go
@@ -8,7 +8,8 @@
 const (
 	// minSocketBytes is the smallest buffer of a socket. What a sender sends in the first round trip, 14.6 KB, fits in it.
 	minSocketBytes = 16 << 10
-	// maxSocketBytes is the largest one. It carries 256 Mbit/s at a round trip of 16 ms, more than any host's link.
+	// maxSocketBytes is the largest one. It carries 256 Mbit/s at a round trip of 16 ms, more than any host's link, if the kernel's
+	// own limits for sockets permit it.
 	maxSocketBytes = 512 << 10
 )
 
