--- a/core/event/request.go
+++ b/core/event/request.go
@@ -29,6 +29,10 @@
 	QuotaUnreachable    = Info{627, zapcore.WarnLevel, "coordinator of quotas unreachable", "The host got no shares; it uses those that it has until their leases end, and then a small part that needs no share."}
 	QuotaRefused        = Info{628, zapcore.InfoLevel, "request over the quota of its customer", "The share of this host is used up; the fields are the share, its age and the election that granted it."}
 	QuotaShareChanged   = Info{629, zapcore.DebugLevel, "share of a quota changed", "The rate of the share of this host has changed by more than a quarter."}
+	MemoryLimits        = Info{630, zapcore.InfoLevel, "memory limits", "The limits for callers and targets that derive from the memory and the descriptors of the host."}
+	MemoryExhausted     = Info{631, zapcore.WarnLevel, "memory budget exhausted", "Requests or connections were refused as not run since the last line, because the process holds as much as its host permits."}
+	ConnectionsRefused  = Info{632, zapcore.WarnLevel, "connections refused", "A port has as many connections as its limit, or request heads were refused; the field counts them since the last line."}
+	ConnectionsEvicted  = Info{633, zapcore.WarnLevel, "connections closed for others", "A port had as many connections as its limit; those without a complete request for longest were closed."}
 )
 
 var requestTable = []Info{
@@ -36,4 +40,5 @@
 	RequestPlaced, RequestRejected, RequestCompleted, LinesDropped, SettingsPartInvalid, RequestKeyRefused, RequestUnproven, RequestOverQuota,
 	QuotaCoordinating, QuotaStepDown, QuotaUnreachable, QuotaRefused, QuotaShareChanged,
 	ServiceScarce, ServiceRoomy, CustomerExcess, CustomersFull,
+	MemoryLimits, MemoryExhausted, ConnectionsRefused, ConnectionsEvicted,
 }
--- a/entry/intake/conn.go
+++ b/entry/intake/conn.go
@@ -14,6 +14,7 @@
 
 	"ebonyrouter.dev/core/event"
 	"ebonyrouter.dev/entry/heads"
+	"ebonyrouter.dev/entry/memory"
 )
 
 const (
@@ -55,8 +56,10 @@
 	// closeRequested means that the connection closes after the responses to the requests of which a part has been read.
 	closeRequested bool
 	server         *Server
-	tasks          sync.WaitGroup
-	writer         *bufio.Writer
+	// charged counts the memory of the requests.
+	charged charge
+	tasks   sync.WaitGroup
+	writer  *bufio.Writer
 }
 
 func newConn(server *Server, socket net.Conn) *conn {
@@ -64,6 +67,7 @@
 	c.ctx, c.cancel = context.WithCancel(context.Background())
 	c.head = &heads.Reader{Source: socket, TooLarge: errHeadTooLarge}
 	c.reader = bufio.NewReader(c.head)
+	c.charged.init(socket, c.evict)
 	return c
 }
 
@@ -90,6 +94,7 @@
 	}
 	c.readingRequest = false
 	e := newExchange(c, request)
+	e.chargedBytes = c.charged.beginServing(c.pendingResponses)
 	if c.lastExchange != nil {
 		e.previousDone = c.lastExchange.done
 	}
@@ -103,6 +108,7 @@
 func (c *conn) completeRequest(closeWanted bool) bool {
 	c.mutex.Lock()
 	defer c.mutex.Unlock()
+	c.charged.endServing(c.pendingResponses)
 	c.closeRequested = c.closeRequested || closeWanted
 	c.pendingResponses--
 	if c.closeRequested && c.pendingResponses == 0 {
@@ -136,7 +142,13 @@
 	c.beginRequest()
 	c.head.Begin(c.server.MaxHeaderBytes - int64(c.reader.Buffered()))
 	_ = c.socket.SetReadDeadline(time.Now().Add(c.server.HeaderTimeout))
+	if err := c.charged.beginHead(c.reader, c.head); err != nil {
+		return nil, err
+	}
 	request, err := http.ReadRequest(c.reader)
+	if refusal := c.head.Refusal(); refusal != nil {
+		err = refusal
+	}
 	c.head.End()
 	if err != nil {
 		return nil, err
@@ -221,6 +233,7 @@
 		}
 	}
 	c.tasks.Wait()
+	c.charged.account.Close()
 	c.cancel()
 	if c.isEnded() {
 		_ = c.socket.SetReadDeadline(time.Now().Add(discardTime))
@@ -247,12 +260,13 @@
 		close(e.done)
 		return false
 	}
-	if !e.readBody(c.server.MaxBufferedBodyBytes) {
+	if !c.chargeBody(e) || !e.readBody(c.server.MaxBufferedBodyBytes) {
 		return false
 	}
 	c.tasks.Go(func() {
 		defer func() { <-c.pipelineTokens }()
 		e.run()
+		c.charged.release(e.chargedBytes)
 	})
 	if e.streamed {
 		<-e.done
@@ -264,12 +278,15 @@
 // handleReadError ends the connection after a failure to read a request head. It sends an error response to a malformed
 // request and cancels the requests of a caller that has disconnected.
 func (c *conn) handleReadError(cause error) {
+	c.charged.release(c.charged.takeHead())
 	var timeout net.Error
 	switch {
 	case c.isEnded():
 	case errors.Is(cause, ErrClosed):
 		c.closeIdle()
-	case errors.Is(cause, errHeadTooLarge):
+	case errors.Is(cause, memory.ErrExhausted):
+		c.reject(http.StatusServiceUnavailable, cause)
+	case errors.Is(cause, errHeadTooLarge), errors.Is(cause, memory.ErrTooManyLines):
 		c.reject(http.StatusRequestHeaderFieldsTooLarge, cause)
 	case errors.As(cause, &timeout) && timeout.Timeout():
 		if c.idle() {
@@ -288,7 +305,5 @@
 	if e == nil {
 		return
 	}
-	e.header.Set("Connection", "close")
-	http.Error(e, cause.Error(), status)
-	e.finish()
+	e.refuse(status, cause)
 }
