Hold pipelined responses until they may be sent

Cause: a response that waited for its turn was buffered up to 64 KiB; then its handler blocked in Write, or at once in Flush, and the read deadline of its target passed although the target had sent everything. The truncated response closed the connection, with all answered requests behind it. A response that a target broke off closed the connection also if nothing of it had been sent.

Change: entry/intake holds a response that waits, and on connections with pipelined requests also the one in turn, up to MaxHeldBytes (1 MiB for each connection) and within core.MemoryBudget. Beyond that the handler waits, and the proxy extends the read deadline by that time. The placer no longer sees the wait as latency of the target.

--- a/entry/intake/conn.go
+++ b/entry/intake/conn.go
@@ -42,10 +42,14 @@
 	// writeClosed means that the last response was written and the connection is closed for writing.
 	writeClosed bool
 	// head limits the size of request heads.
-	head             *heads.Reader
+	head *heads.Reader
+	// heldBytes is the memory of the responses that are held.
+	heldBytes        int64
 	lastExchange     *exchange
 	mutex            sync.Mutex
 	pendingResponses int
+	// pipelined means that a request was read before the response to an earlier one had been sent.
+	pipelined bool
 	// pipelineTokens holds one element for each request that is being served; its capacity limits them.
 	pipelineTokens chan struct{}
 	socket         net.Conn
@@ -94,6 +98,7 @@
 		e.previousDone = c.lastExchange.done
 	}
 	c.lastExchange = e
+	c.pipelined = c.pipelined || c.pendingResponses > 0
 	c.pendingResponses++
 	return e
 }
@@ -118,6 +123,13 @@
 	return c.pendingResponses == 0
 }
 
+// isPipelined reports whether the caller has sent a request before the response to an earlier one.
+func (c *conn) isPipelined() bool {
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	return c.pipelined
+}
+
 // readRequest reads the head of the next request.
 func (c *conn) readRequest() (*http.Request, error) {
 	if c.reader.Buffered() == 0 {
--- a/entry/intake/exchange.go
+++ b/entry/intake/exchange.go
@@ -12,21 +12,24 @@
 
 	"go.uber.org/zap"
 
+	"ebonyrouter.dev/core"
 	"ebonyrouter.dev/core/event"
 )
 
-// maxBufferedBytes is the size up to which a response is buffered while it waits for earlier responses.
+// maxBufferedBytes is the size up to which a response is buffered before its head is sent, if no request was pipelined on its
+// connection, and the size up to which the rest of a request body is discarded.
 const maxBufferedBytes = 64 << 10
 
 var (
+	_ core.HeldResponse   = (*exchange)(nil)
 	_ http.Flusher        = (*exchange)(nil)
 	_ http.ResponseWriter = (*exchange)(nil)
 )
 
 // exchange is one request and its response; it implements http.ResponseWriter.
 type exchange struct {
-	// body buffers the response body that has not been written to the connection, and bodySent counts the bytes written.
-	body    bytes.Buffer
+	// body is the response body that has not been written to the connection, and bodySent counts the bytes written.
+	body    held
 	chunked bool
 	conn    *conn
 	// bodyRead means that a streamed request body was read to its end.
@@ -47,24 +50,44 @@
 	streamed bool
 	// previousDone is closed when the previous response has been sent; it is nil for the first response of a connection.
 	previousDone chan struct{}
+	// waited is the time for which calls of the handler have blocked until earlier responses were sent.
+	waited time.Duration
 }
 
 func newExchange(c *conn, request *http.Request) *exchange {
-	return &exchange{conn: c, done: make(chan struct{}), header: http.Header{}, contentLength: -1, request: request}
+	return &exchange{body: held{conn: c}, conn: c, done: make(chan struct{}), header: http.Header{}, contentLength: -1, request: request}
 }
 
 // EnableFullDuplex is called by http.ResponseController. It does nothing, because reading the request and writing the
 // response are always independent.
 func (e *exchange) EnableFullDuplex() error { return nil }
 
+// Discard implements core.HeldResponse.Discard.
+func (e *exchange) Discard() bool {
+	if e.headWritten {
+		return false
+	}
+	clear(e.header)
+	e.body.clear()
+	e.contentLength, e.status = -1, 0
+	return true
+}
+
+// WaitedForTurn implements core.HeldResponse.WaitedForTurn.
+func (e *exchange) WaitedForTurn() time.Duration { return e.waited }
+
 // Flush implements http.Flusher.
 func (e *exchange) Flush() { _ = e.FlushError() }
 
-// FlushError is called by http.ResponseController. It waits for earlier responses, then sends the buffered data.
+// FlushError is called by http.ResponseController. It sends the buffered data, unless the response is held: then the data is sent as
+// soon as the response is written.
 func (e *exchange) FlushError() error {
 	if e.status == 0 {
 		e.WriteHeader(http.StatusOK)
 	}
+	if !e.headWritten && !e.mayStart() {
+		return e.writeErr
+	}
 	e.writeBuffered()
 	if e.writeErr == nil {
 		e.writeErr = e.conn.writer.Flush()
@@ -97,26 +120,48 @@
 	if e.writeErr != nil {
 		return 0, e.writeErr
 	}
-	if e.contentLength >= 0 && e.bodySent+int64(e.body.Len()+len(data)) > e.contentLength {
-		return 0, http.ErrContentLength
+	remaining := int64(-1)
+	if e.contentLength >= 0 {
+		remaining = e.contentLength - e.bodySent - int64(e.body.size)
+		if int64(len(data)) > remaining {
+			return 0, http.ErrContentLength
+		}
 	}
 	if !e.hasBody() {
 		return len(data), nil
 	}
-	e.body.Write(data)
-	if e.body.Len() > maxBufferedBytes {
+	switch {
+	case e.headWritten || !e.body.add(data, remaining):
+		e.writeBuffered()
+		e.writeParts([][]byte{data}, len(data))
+	case e.body.size > maxBufferedBytes && e.mayStart():
 		e.writeBuffered()
 	}
 	return len(data), e.writeErr
 }
 
+// mayStart reports whether the response may be sent before it is complete. On a connection with pipelined requests it is held until it
+// is complete or MaxHeldBytes is reached: if its target breaks it off, an error response replaces it, and the connection with the
+// responses behind it stays open.
+func (e *exchange) mayStart() bool {
+	if e.conn.isPipelined() {
+		return false
+	}
+	select {
+	case <-e.previousDone:
+		return true
+	default:
+		return e.previousDone == nil
+	}
+}
+
 // WriteHeader implements http.ResponseWriter.
 func (e *exchange) WriteHeader(status int) {
 	switch {
 	case e.status != 0:
 		return
 	case status >= http.StatusContinue && status < http.StatusOK:
-		e.awaitTurn()
+		e.awaitTurnInHandler()
 		e.writeHead(status)
 		_ = e.conn.writer.Flush()
 		return
@@ -139,6 +184,13 @@
 	}
 }
 
+// awaitTurnInHandler is awaitTurn for calls of the handler. It adds the time to waited.
+func (e *exchange) awaitTurnInHandler() {
+	start := time.Now()
+	e.awaitTurn()
+	e.waited += time.Since(start)
+}
+
 // discardBody reports whether a streamed body was read to its end, so that another request can follow. It first
 // discards an unread remainder of less than maxBufferedBytes.
 func (e *exchange) discardBody() bool {
@@ -152,12 +204,13 @@
 // finish sends the rest of the response and lets the next response be sent.
 func (e *exchange) finish() {
 	defer close(e.done)
+	defer e.body.clear()
 	if e.status == 0 {
 		e.WriteHeader(http.StatusOK)
 	}
 	e.setContentLength()
 	e.awaitTurn()
-	incomplete := e.contentLength >= 0 && e.hasBody() && e.bodySent+int64(e.body.Len()) < e.contentLength
+	incomplete := e.contentLength >= 0 && e.hasBody() && e.bodySent+int64(e.body.size) < e.contentLength
 	last := e.conn.completeRequest(e.wantsClose() || incomplete)
 	switch {
 	case e.headWritten:
@@ -186,8 +239,8 @@
 	if e.headWritten || e.contentLength >= 0 || !e.hasBody() || len(e.trailers()) > 0 {
 		return
 	}
-	e.contentLength = int64(e.body.Len())
-	e.header.Set("Content-Length", strconv.Itoa(e.body.Len()))
+	e.contentLength = int64(e.body.size)
+	e.header.Set("Content-Length", strconv.Itoa(e.body.size))
 }
 
 // hasBody reports whether the response may have a body.
@@ -197,7 +250,7 @@
 
 // writeBuffered writes the head, unless it is written already, and the buffered part of the body.
 func (e *exchange) writeBuffered() {
-	e.awaitTurn()
+	e.awaitTurnInHandler()
 	if e.writeErr != nil {
 		return
 	}
@@ -210,15 +263,29 @@
 		}
 		e.writeHead(e.status)
 	}
-	if e.body.Len() == 0 {
+	e.writeParts(e.body.parts, e.body.size)
+	e.body.clear()
+}
+
+// writeParts writes a part of the body, which has size bytes, behind the head.
+func (e *exchange) writeParts(parts [][]byte, size int) {
+	if size == 0 || e.writeErr != nil {
 		return
 	}
 	w := e.conn.writer
-	e.bodySent += int64(e.body.Len())
+	e.bodySent += int64(size)
 	if e.chunked {
-		_, _ = fmt.Fprintf(w, "%x\r\n", e.body.Len())
+		_, _ = fmt.Fprintf(w, "%x\r\n", size)
+	}
+	for _, part := range parts {
+		if !e.writeDeadline.IsZero() {
+			// A deadline that has passed during the wait leaves minWriteTimeout for each part, not for a body of a megabyte.
+			_ = e.conn.socket.SetWriteDeadline(e.nextWriteDeadline(time.Now()))
+		}
+		if e.writeErr == nil {
+			_, e.writeErr = w.Write(part)
+		}
 	}
-	_, e.writeErr = e.body.WriteTo(w)
 	if e.chunked && e.writeErr == nil {
 		_, e.writeErr = w.WriteString("\r\n")
 	}
@@ -275,6 +342,7 @@
 		}
 		e.awaitTurn()
 		e.conn.abort("the handler gave the response up", nil)
+		e.body.clear()
 		close(e.done)
 	}()
 	e.conn.server.Handler.ServeHTTP(e, e.request)
--- a/entry/intake/intake_test.go
+++ b/entry/intake/intake_test.go
@@ -9,6 +9,7 @@
 	"net"
 	"net/http"
 	"strings"
+	"sync"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -18,6 +19,7 @@
 	"gotest.tools/v3/assert"
 	"gotest.tools/v3/poll"
 
+	"ebonyrouter.dev/core"
 	"ebonyrouter.dev/entry/intake"
 )
 
@@ -25,11 +27,18 @@
 
 // start serves a handler; GET requests are idempotent.
 func start(t *testing.T, handler http.HandlerFunc) (*intake.Server, string) {
+	t.Helper()
+	return startWith(t, handler, func(*intake.Server) {})
+}
+
+// startWith is start with a server that configure changes before it serves.
+func startWith(t *testing.T, handler http.HandlerFunc, configure func(*intake.Server)) (*intake.Server, string) {
 	t.Helper()
 	s := &intake.Server{
 		MaxBufferedBodyBytes: 1 << 10, Handler: handler, MaxHeaderBytes: 4 << 10, HeaderTimeout: time.Second, IdleTimeout: 5 * time.Second,
 		Log: zap.NewNop(), MaxPipelined: 4, Idempotent: func(r *http.Request) bool { return r.Method == http.MethodGet },
 	}
+	configure(s)
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	assert.NilError(t, err)
 	done := make(chan error, 1)
@@ -565,3 +574,136 @@
 	assert.Equal(t, l.bytesAfterClose.Load(), int64(0))
 	assert.ErrorIs(t, <-done, intake.ErrClosed)
 }
+
+// countingBudget is a core.MemoryBudget of limit bytes.
+type countingBudget struct {
+	limit, reserved, peak int64
+	mutex                 sync.Mutex
+}
+
+func (b *countingBudget) Release(bytes int64) {
+	b.mutex.Lock()
+	defer b.mutex.Unlock()
+	b.reserved -= bytes
+}
+
+func (b *countingBudget) Reserve(bytes int64) bool {
+	b.mutex.Lock()
+	defer b.mutex.Unlock()
+	if b.reserved+bytes > b.limit {
+		return false
+	}
+	b.reserved += bytes
+	b.peak = max(b.peak, b.reserved)
+	return true
+}
+
+// TestHeldResponses guards against a handler that is blocked while its response waits for earlier ones, against held responses that
+// exceed the bounds of the connection or the process, and against memory that is not returned.
+func TestHeldResponses(t *testing.T) {
+	cases := map[string]struct {
+		size, perConn, budget int64
+		flush, blocks         bool
+	}{
+		"one byte":                      {size: 1, budget: 1 << 30},
+		"more than the buffers":         {size: 300 << 10, budget: 1 << 30},
+		"flushed":                       {size: 300 << 10, budget: 1 << 30, flush: true},
+		"more than the connection may":  {size: 300 << 10, perConn: 200 << 10, budget: 1 << 30, blocks: true},
+		"more than the process may":     {size: 300 << 10, budget: 100 << 10, blocks: true},
+		"several megabytes":             {size: 5 << 20, budget: 1 << 30, blocks: true},
+		"nothing may be held":           {size: 900, budget: 0, blocks: true},
+		"flushed and more than allowed": {size: 300 << 10, perConn: 200 << 10, budget: 1 << 30, flush: true, blocks: true},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			release, finished := make(chan struct{}), make(chan time.Duration, 1)
+			budget := &countingBudget{limit: c.budget}
+			_, address := startWith(t, func(w http.ResponseWriter, r *http.Request) {
+				if r.URL.Path == "/1" {
+					<-release
+					return
+				}
+				for left := c.size; left > 0; left -= min(left, 10<<10) {
+					_, _ = io.WriteString(w, strings.Repeat("x", int(min(left, 10<<10))))
+					if c.flush {
+						_ = http.NewResponseController(w).Flush()
+					}
+				}
+				held, ok := w.(core.HeldResponse)
+				assert.Check(t, ok)
+				finished <- held.WaitedForTurn()
+			}, func(s *intake.Server) { s.Memory, s.MaxHeldBytes = budget, c.perConn })
+			client := dial(t, address)
+			client.send(get("/1") + get("/2"))
+			select {
+			case <-finished:
+				assert.Assert(t, !c.blocks, "the response is held beyond its bound")
+			case <-time.After(100 * time.Millisecond):
+				assert.Assert(t, c.blocks, "the handler is blocked")
+			}
+			close(release)
+			client.receive("GET")
+			assert.Equal(t, int64(len(client.receive("GET").body)), c.size)
+			if c.blocks {
+				assert.Assert(t, <-finished > 50*time.Millisecond)
+			}
+			poll.WaitOn(t, func(poll.LogT) poll.Result {
+				budget.mutex.Lock()
+				defer budget.mutex.Unlock()
+				if budget.reserved > 0 {
+					return poll.Continue("%d bytes are still reserved", budget.reserved)
+				}
+				return poll.Success()
+			})
+			limit := c.perConn
+			if limit == 0 {
+				limit = 1 << 20
+			}
+			assert.Assert(t, budget.peak <= limit)
+		})
+	}
+}
+
+// TestDiscardedResponse guards against a response that cannot be replaced although nothing of it was sent, and against one that is
+// replaced after its head was sent.
+func TestDiscardedResponse(t *testing.T) {
+	for name, size := range map[string]int{"before the head": 100 << 10, "after the head": 2 << 20} {
+		t.Run(name, func(t *testing.T) {
+			discarded := make(chan bool, 1)
+			_, address := start(t, func(w http.ResponseWriter, r *http.Request) {
+				if r.URL.Path == "/2" {
+					_, _ = io.WriteString(w, "sound")
+					return
+				}
+				time.Sleep(50 * time.Millisecond) // The second request has been read.
+				w.Header().Set("Content-Length", fmt.Sprint(3<<20))
+				_, _ = io.WriteString(w, strings.Repeat("x", size))
+				held, ok := w.(core.HeldResponse)
+				assert.Check(t, ok)
+				done := held.Discard()
+				discarded <- done
+				if !done {
+					panic(http.ErrAbortHandler)
+				}
+				w.WriteHeader(http.StatusBadGateway)
+				_, _ = io.WriteString(w, "broken")
+			})
+			c := dial(t, address)
+			c.send(get("/1") + get("/2"))
+			if size > 1<<20 {
+				response, err := http.ReadResponse(c.reader, nil)
+				assert.NilError(t, err)
+				_, err = io.Copy(io.Discard, response.Body)
+				assert.Assert(t, err != nil)
+				assert.NilError(t, response.Body.Close())
+				assert.Assert(t, !<-discarded)
+				return
+			}
+			first := c.receive("GET")
+			assert.Assert(t, <-discarded)
+			assert.Equal(t, first.status, http.StatusBadGateway)
+			assert.Equal(t, first.body, "broken")
+			assert.Equal(t, c.receive("GET").body, "sound")
+		})
+	}
+}
--- a/entry/intake/server.go
+++ b/entry/intake/server.go
@@ -9,6 +9,8 @@
 
 	"github.com/juju/errors"
 	"go.uber.org/zap"
+
+	"ebonyrouter.dev/core"
 )
 
 // ErrClosed is returned by Serve after Shutdown or Close.
@@ -25,6 +27,11 @@
 	Handler              http.Handler
 	// MaxHeaderBytes limits the size of a request head.
 	MaxHeaderBytes int64
+	// MaxHeldBytes limits the memory of the responses of one connection that wait for earlier ones or are held until they are complete;
+	// 0 means 1 MiB. A response that needs more waits for its turn.
+	MaxHeldBytes int64
+	// Memory is the process-wide budget for held responses; nil means unbounded.
+	Memory core.MemoryBudget
 	// HeaderTimeout limits the time to read a request head, and IdleTimeout the wait for the next request or for a
 	// buffered body.
 	HeaderTimeout time.Duration
--- a/entry/proxy/attempt_result.go
+++ b/entry/proxy/attempt_result.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net/http"
+	"time"
 
 	"ebonyrouter.dev/core"
 	"ebonyrouter.dev/core/codes"
@@ -40,6 +41,8 @@
 	// bodyUnread means that this attempt did not read the caller's body.
 	bodyUnread bool
 	upload     *upload
+	// waited is the time for which the response has waited for earlier ones of the caller's connection.
+	waited time.Duration
 }
 
 // finish ends the attempt, returns its connection to the pool if the exchange was complete, and releases its grant. If
@@ -53,7 +56,7 @@
 	reusable := complete && !cancelled && uploaded && !r.response.Close && r.conn.reader.Buffered() == 0
 	shed := r.response != nil && r.ran == core.RanNo
 	outcome := core.Outcome{
-		Failed: failed, HasLoad: r.hasLoad, Latency: r.conn.timer.Now().Sub(r.sentAt), Load: r.load, OtherTarget: r.otherTarget, Shed: shed,
+		Failed: failed, HasLoad: r.hasLoad, Latency: r.conn.timer.Now().Sub(r.sentAt) - r.waited, Load: r.load, OtherTarget: r.otherTarget, Shed: shed,
 	}
 	c := r.conn
 	r.conn = nil
--- a/entry/proxy/respond.go
+++ b/entry/proxy/respond.go
@@ -57,7 +57,7 @@
 		defer p.boundWrites(req)()
 	}
 	req.writer.WriteHeader(response.StatusCode)
-	readErr, writeErr := copyBody(req, response, record)
+	readErr, writeErr := copyBody(req, result, record)
 	switch {
 	case readErr != nil && req.incoming.Context().Err() != nil:
 		req.code = codes.CallerGone
@@ -67,6 +67,10 @@
 		req.code = codes.UpstreamTruncated
 		event.RequestTruncated.Write(p.Log, zap.String("request_id", req.id), zap.String("service", req.service), zap.Error(readErr))
 		result.finish(false, true)
+		if replaceable(req, record) {
+			p.writeError(req, mayHaveRun(codes.UpstreamTruncated, http.StatusBadGateway, "the response ended early: "+readErr.Error()))
+			return
+		}
 		panic(http.ErrAbortHandler)
 	case writeErr != nil:
 		req.code = codes.CallerGone
@@ -77,13 +81,33 @@
 	}
 }
 
+// replaceable discards a truncated response of which nothing was sent, and reports whether an error response can replace it. Other
+// responses of the caller's connection are then not lost with it.
+func replaceable(req *request, record *recorder) bool {
+	held, ok := req.writer.(core.HeldResponse)
+	return ok && record == nil && held.Discard()
+}
+
+// extendForTurn extends the read deadline by the time for which the response has waited for earlier ones of the caller's connection.
+// The upstream has no part in this wait: what it has sent may still be in the socket's buffer.
+func extendForTurn(req *request, result *attemptResult) {
+	held, ok := req.writer.(core.HeldResponse)
+	if !ok || held.WaitedForTurn() <= result.waited {
+		return
+	}
+	result.waited = held.WaitedForTurn()
+	_ = result.conn.setReadDeadline(req.deadline.Add(result.waited))
+}
+
 // copyBody streams the body and returns the upstream's read error and the caller's write error.
-func copyBody(req *request, response *http.Response, record *recorder) (error, error) {
+func copyBody(req *request, result *attemptResult, record *recorder) (error, error) {
+	response := result.response
 	buffer, _ := copyBuffers.Get().(*[]byte)
 	defer copyBuffers.Put(buffer)
 	flush := response.ContentLength < 0
 	var writeErr error
 	for {
+		extendForTurn(req, result)
 		n, readErr := response.Body.Read(*buffer)
 		record.write((*buffer)[:n])
 		if n > 0 && writeErr == nil {
