Send nothing behind the response that announces the close

Cause: which response is the last one of a connection was decided when it was complete, but the head of a longer one is written before, with the handler's Connection: close. The responses behind it followed, although their callers had sent the requests again.

Ruled out: the proxy, which marks each response while the process drains and does not know the connection.

Change: the decision is made when the head is written. The close is announced only if nothing is pending behind; from then on no request is served. A response that the close ends (HTTP/1.0 without a length) is always the last one. A request with Connection: close is the last one that is read.

The tests of entry/intake pass with the race detector.

--- a/entry/intake/conn.go
+++ b/entry/intake/conn.go
@@ -36,7 +36,9 @@
 // conn is one connection of a caller.
 type conn struct {
 	cancel context.CancelFunc
-	ctx    context.Context //nolint:containedctx // Requests inherit it; it ends with the connection.
+	// closeAnnounced means that the head of the last response was written.
+	closeAnnounced bool
+	ctx            context.Context //nolint:containedctx // Requests inherit it; it ends with the connection.
 	// ended means that the last response is being sent or the connection has failed; no further request is served.
 	ended bool
 	// writeClosed means that the last response was written and the connection is closed for writing.
@@ -89,7 +91,7 @@
 func (c *conn) enqueue(request *http.Request) *exchange {
 	c.mutex.Lock()
 	defer c.mutex.Unlock()
-	if c.ended || c.closeRequested && !c.readingRequest {
+	if c.ended || c.closeAnnounced || c.closeRequested && !c.readingRequest {
 		return nil
 	}
 	c.readingRequest = false
@@ -100,17 +102,29 @@
 	c.lastExchange = e
 	c.pipelined = c.pipelined || c.pendingResponses > 0
 	c.pendingResponses++
+	c.closeRequested = c.closeRequested || request.Close
 	return e
 }
 
+// announceClose decides, before the head of an incomplete response is written, whether it is the last one of the connection. If
+// closeWanted is set, the connection closes after the responses to the requests read so far; if mustClose is set, it closes after
+// this one, because the close is the end of its body.
+func (c *conn) announceClose(closeWanted, mustClose bool) bool {
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	c.closeRequested = c.closeRequested || closeWanted || mustClose
+	c.closeAnnounced = mustClose || c.closeRequested && c.pendingResponses == 1 && !c.readingRequest
+	return c.closeAnnounced
+}
+
 // completeRequest removes a request from the queue and reports whether its response is the last one of the connection.
-// If closeWanted is set, the connection closes after the responses to the requests read so far.
-func (c *conn) completeRequest(closeWanted bool) bool {
+// closeWanted and mustClose are as for announceClose.
+func (c *conn) completeRequest(closeWanted, mustClose bool) bool {
 	c.mutex.Lock()
 	defer c.mutex.Unlock()
 	c.closeRequested = c.closeRequested || closeWanted
 	c.pendingResponses--
-	if c.closeRequested && c.pendingResponses == 0 {
+	if mustClose || c.closeAnnounced || c.closeRequested && c.pendingResponses == 0 {
 		c.ended = true
 	}
 	return c.ended
@@ -255,7 +269,7 @@
 	if c.server.Idempotent == nil || !c.server.Idempotent(request) {
 		e.awaitTurn()
 	}
-	if c.ctx.Err() != nil {
+	if c.ctx.Err() != nil || c.isEnded() {
 		close(e.done)
 		return false
 	}
--- a/entry/intake/exchange.go
+++ b/entry/intake/exchange.go
@@ -5,6 +5,7 @@
 	"errors"
 	"fmt"
 	"io"
+	"net"
 	"net/http"
 	"strconv"
 	"strings"
@@ -43,6 +44,8 @@
 	contentLength int64
 	request       *http.Request
 	bodySent      int64
+	// finishing means that the response is complete, so that it is known whether it is the last one.
+	finishing bool
 	// headWritten means that the response head was written to the connection.
 	headWritten bool
 	status      int
@@ -162,6 +165,9 @@
 		return
 	case status >= http.StatusContinue && status < http.StatusOK:
 		e.awaitTurnInHandler()
+		if e.conn.isEnded() {
+			return
+		}
 		e.writeHead(status)
 		_ = e.conn.writer.Flush()
 		return
@@ -210,15 +216,30 @@
 	}
 	e.setContentLength()
 	e.awaitTurn()
+	if e.conn.isEnded() {
+		// The connection failed, or an earlier response was its last one: the caller sends the request again.
+		e.conn.completeRequest(false, false)
+		return
+	}
+	e.finishing = true
 	incomplete := e.contentLength >= 0 && e.hasBody() && e.bodySent+int64(e.body.size) < e.contentLength
-	last := e.conn.completeRequest(e.wantsClose() || incomplete)
+	last := e.conn.completeRequest(e.wantsClose() || incomplete || e.streamed && !e.bodyRead, e.endsWithClose())
+	if !e.headWritten {
+		e.setConnection(last)
+	}
+	e.writeRest()
 	switch {
-	case e.headWritten:
+	case e.writeErr != nil || incomplete:
+		e.conn.abort("the response could not be completed", e.writeErr)
 	case last:
-		e.header.Set("Connection", "close")
-	default:
-		e.header.Del("Connection")
+		e.conn.closeWrite()
+		// Requests behind the last response are given up.
+		e.conn.cancel()
 	}
+}
+
+// writeRest sends what is left of the response.
+func (e *exchange) writeRest() {
 	e.writeBuffered()
 	if e.chunked && e.writeErr == nil {
 		e.writeTrailer()
@@ -226,14 +247,21 @@
 	if e.writeErr == nil {
 		e.writeErr = e.conn.writer.Flush()
 	}
-	switch {
-	case e.writeErr != nil || incomplete:
-		e.conn.abort("the response could not be completed", e.writeErr)
-	case last:
-		e.conn.closeWrite()
+}
+
+// setConnection announces in the head whether the connection closes after the response.
+func (e *exchange) setConnection(last bool) {
+	e.header.Del("Connection")
+	if last {
+		e.header.Set("Connection", "close")
 	}
 }
 
+// endsWithClose reports whether the end of the connection is the end of the body.
+func (e *exchange) endsWithClose() bool {
+	return e.contentLength < 0 && e.hasBody() && !e.request.ProtoAtLeast(1, 1)
+}
+
 // setContentLength sets Content-Length for a response that is complete before its head is written.
 func (e *exchange) setContentLength() {
 	if e.headWritten || e.contentLength >= 0 || !e.hasBody() || len(e.trailers()) > 0 {
@@ -251,16 +279,19 @@
 // writeBuffered writes the head, unless it is written already, and the buffered part of the body.
 func (e *exchange) writeBuffered() {
 	e.awaitTurnInHandler()
+	if !e.finishing && e.conn.isEnded() {
+		e.writeErr = net.ErrClosed
+	}
 	if e.writeErr != nil {
 		return
 	}
 	_ = e.conn.socket.SetWriteDeadline(e.nextWriteDeadline(time.Now()))
 	if !e.headWritten {
+		if !e.finishing {
+			e.setConnection(e.conn.announceClose(e.wantsClose(), e.endsWithClose()))
+		}
 		e.headWritten = true
 		e.chunked = e.contentLength < 0 && e.hasBody() && e.request.ProtoAtLeast(1, 1)
-		if e.contentLength < 0 && e.hasBody() && !e.chunked {
-			e.header.Set("Connection", "close")
-		}
 		e.writeHead(e.status)
 	}
 	e.writeParts(e.body.parts, e.body.size)
@@ -300,6 +331,10 @@
 	}
 	if strings.EqualFold(r.Header.Get("Expect"), "100-continue") {
 		e.awaitTurn()
+		if e.conn.isEnded() {
+			close(e.done)
+			return false
+		}
 		_, _ = e.conn.writer.WriteString("HTTP/1.1 100 Continue\r\n\r\n")
 		if err := e.conn.writer.Flush(); err != nil {
 			e.conn.abort("the caller does not read", err)
@@ -341,18 +376,18 @@
 			event.HandlerPanicked.Write(e.conn.server.Log, zap.Any("panic", cause), zap.Stack("stack"))
 		}
 		e.awaitTurn()
-		e.conn.abort("the handler gave the response up", nil)
+		if !e.conn.isEnded() {
+			e.conn.abort("the handler gave the response up", nil)
+		}
 		e.body.clear()
 		close(e.done)
 	}()
 	e.conn.server.Handler.ServeHTTP(e, e.request)
 }
 
-// wantsClose reports whether the caller, the handler or the protocol requires the connection to close after the
-// response.
+// wantsClose reports whether the caller or the handler requires the connection to close after the response.
 func (e *exchange) wantsClose() bool {
-	return e.request.Close || hasToken(e.header["Connection"], "close") ||
-		(e.headWritten && !e.chunked && e.contentLength < 0 && e.hasBody()) || (e.streamed && !e.bodyRead)
+	return e.request.Close || hasToken(e.header["Connection"], "close")
 }
 
 // nextWriteDeadline returns the deadline of a write that begins now. Time spent waiting for earlier responses does not
--- a/entry/intake/intake_test.go
+++ b/entry/intake/intake_test.go
@@ -707,3 +707,123 @@
 		})
 	}
 }
+
+// closeForms are the ways in which a response of 2 MB or less can be written.
+var closeForms = map[string]struct {
+	version, body string
+	length, flush bool
+}{
+	"short":                       {"1.1", "x", false, false},
+	"longer than the buffers":     {"1.1", strings.Repeat("x", 120_000), false, false},
+	"with a length":               {"1.1", strings.Repeat("x", 120_000), true, false},
+	"in chunks":                   {"1.1", strings.Repeat("x", 120_000), false, true},
+	"longer than what is held":    {"1.1", strings.Repeat("x", 2<<20), false, false},
+	"longer, with a length":       {"1.1", strings.Repeat("x", 2<<20), true, false},
+	"longer, in chunks":           {"1.1", strings.Repeat("x", 2<<20), false, true},
+	"longer, ended by the close":  {"1.0", strings.Repeat("x", 2<<20), false, false},
+	"flushed, ended by the close": {"1.0", "x", false, true},
+}
+
+// TestCloseIsLast guards against a response behind one with Connection: close, whose request the caller has sent again, and against a
+// request behind one that is neither served nor safe to send again.
+func TestCloseIsLast(t *testing.T) {
+	for name, c := range closeForms {
+		t.Run(name, func(t *testing.T) {
+			var posts atomic.Int64
+			_, address := start(t, func(w http.ResponseWriter, r *http.Request) {
+				if r.Method == http.MethodPost {
+					posts.Add(1)
+					return
+				}
+				if r.URL.Path == "/2" {
+					_, _ = io.WriteString(w, "second")
+					return
+				}
+				time.Sleep(50 * time.Millisecond) // The requests behind have been read.
+				w.Header().Set("Connection", "close")
+				if c.length {
+					w.Header().Set("Content-Length", fmt.Sprint(len(c.body)))
+				}
+				for rest := c.body; rest != ""; rest = rest[min(len(rest), 32<<10):] {
+					_, _ = io.WriteString(w, rest[:min(len(rest), 32<<10)])
+					if c.flush {
+						_ = http.NewResponseController(w).Flush()
+					}
+				}
+			})
+			client := dial(t, address)
+			first := "GET / HTTP/" + c.version + "\r\nHost: a.test\r\nConnection: keep-alive\r\n\r\n"
+			client.send(first + get("/2") + "POST /3 HTTP/1.1\r\nHost: a.test\r\nContent-Length: 2\r\n\r\nab")
+			answered := int64(0)
+			for _, method := range []string{"GET", "GET", "POST"} {
+				got := client.receive(method)
+				switch {
+				case answered == 0:
+					assert.Equal(t, len(got.body), len(c.body))
+				case method == "GET":
+					assert.Equal(t, got.body, "second")
+				}
+				answered++
+				if got.close {
+					break
+				}
+			}
+			client.closed()
+			assert.Assert(t, answered == 3 || posts.Load() == 0, "a request ran behind the last response")
+			assert.Assert(t, answered == 3 || c.version == "1.0", "%d of 3 requests are answered", answered)
+		})
+	}
+}
+
+// TestRequestBehindAnnouncedClose guards against a request that runs although the response before it has announced the close, so that
+// its caller sends it again.
+func TestRequestBehindAnnouncedClose(t *testing.T) {
+	for name, stop := range map[string]bool{"closed by the handler": false, "closed by a shutdown": true} {
+		t.Run(name, func(t *testing.T) {
+			var ran atomic.Int64
+			started, write, release := make(chan struct{}), make(chan struct{}), make(chan struct{})
+			releaseOnce := sync.OnceFunc(func() { close(release) })
+			t.Cleanup(releaseOnce)
+			s, address := start(t, func(w http.ResponseWriter, r *http.Request) {
+				if ran.Add(1); r.Method == http.MethodPost {
+					return
+				}
+				close(started)
+				<-write
+				if !stop {
+					w.Header().Set("Connection", "close")
+				}
+				w.Header().Set("Content-Length", "4")
+				_, _ = io.WriteString(w, "ab")
+				_ = http.NewResponseController(w).Flush()
+				<-release
+				_, _ = io.WriteString(w, "cd")
+			})
+			c := dial(t, address)
+			c.send(get("/"))
+			<-started
+			if stop {
+				stopped := make(chan struct{})
+				go func() {
+					_ = s.Shutdown(t.Context())
+					close(stopped)
+				}()
+				defer func() { <-stopped }()
+				awaitClosing(t, s)
+			}
+			close(write)
+			response, err := http.ReadResponse(c.reader, nil)
+			assert.NilError(t, err)
+			assert.Assert(t, response.Close)
+			c.send("POST / HTTP/1.1\r\nHost: a.test\r\nContent-Length: 2\r\n\r\nab")
+			time.Sleep(50 * time.Millisecond) // The request has arrived.
+			releaseOnce()
+			body, err := io.ReadAll(response.Body)
+			assert.NilError(t, err)
+			assert.NilError(t, response.Body.Close())
+			assert.Equal(t, string(body), "abcd")
+			c.closed()
+			assert.Equal(t, ran.Load(), int64(1))
+		})
+	}
+}
