Keep the upstream's connection open in TestGateway

Cause: the upstream of the test closed its connection after each response without announcing it. Under load the second POST was sent on the kept connection before its end arrived; it may have run then, and is rightly not repeated. A fault of the test.

Change: the upstream answers each request of a connection and leaves it open; all assertions stay.

--- a/entry/proxy/fakes_test.go
+++ b/entry/proxy/fakes_test.go
@@ -178,6 +178,17 @@
 	})
 }
 
+// newKeptUpstream starts an upstream that responds with text to each request of a connection and leaves the connection open. A request
+// on an idle connection that the upstream closes at the same moment may have run, so that tests of one response after another need it.
+func newKeptUpstream(t *testing.T, text string) *scriptedUpstream {
+	t.Helper()
+	return newScriptedUpstream(t, func(_ int64, c net.Conn) {
+		for readRequest(c) == nil {
+			_, _ = io.WriteString(c, text)
+		}
+	})
+}
+
 // cancelCall sends a POST and cancels it when started is closed.
 func cancelCall(t *testing.T, url, body, key string, started chan struct{}) {
 	t.Helper()
--- a/entry/proxy/relay_test.go
+++ b/entry/proxy/relay_test.go
@@ -73,7 +73,7 @@
 
 // TestGateway guards against a shift that bypasses its cap and against endless relaying.
 func TestGateway(t *testing.T) {
-	up := newFixedUpstream(t, okResponse)
+	up := newKeptUpstream(t, okResponse)
 	owner := newFixture(up.address)
 	_, ownerRelay := owner.start(t, "a", nil)
 	gateway := newFixture()
@@ -153,11 +153,7 @@
 // TestKeptConnectionIsReused guards against opening a new connection for each request once the first request's deadline
 // has passed.
 func TestKeptConnectionIsReused(t *testing.T) {
-	up := newScriptedUpstream(t, func(_ int64, c net.Conn) {
-		for readRequest(c) == nil {
-			_, _ = io.WriteString(c, okResponse)
-		}
-	})
+	up := newKeptUpstream(t, okResponse)
 	fx := newFixture(up.address)
 	fx.policy.DeadlineMs = 100
 	url, _ := fx.start(t, "a", nil)
