Probe ejected targets one after another

Targets that are ejected at the same moment were probed again at the same moment, so that one request could be the probe of four failing targets.

Ruled out: the ceiling of ejections, which held; the last resort, as a healthy target had room; the test.

Change: a probe delays those of the other ejected targets of its pool, so that all take place within eject_ms. Without a healthy target nothing is delayed.

--- a/entry/limit/pool.go
+++ b/entry/limit/pool.go
@@ -286,6 +286,9 @@
 // grantSlot occupies one slot of t.
 func (p *pool) grantSlot(t *target, validUntil core.Instant, request *core.AdmitRequest, now core.Instant) *grant {
 	p.version.Add(1)
+	if t.ejected && !now.Before(t.ejectedUntil) {
+		p.spreadProbes(t, now)
+	}
 	t.inFlight++
 	t.lastGrantAt = now
 	remote := request.FromRegion != "" && request.FromRegion != p.config.Region
@@ -297,6 +300,31 @@
 	}
 }
 
+// spreadProbes delays the probes of all other targets when t is probed, so that they take place one after another within eject_ms.
+// Targets that failed together would otherwise be probed together, and a request that is retried could meet failing targets only.
+// Without a healthy target nothing is delayed, because a probe is the only way to serve a request then.
+func (p *pool) spreadProbes(t *target, now core.Instant) {
+	ejected, healthy := 0, false
+	for _, other := range p.targets {
+		switch {
+		case other.blocked():
+		case other.ejected:
+			ejected++
+		default:
+			healthy = healthy || other.currentFaultLevel(now) < suspectFaultLevel
+		}
+	}
+	if !healthy {
+		return
+	}
+	next := now.Add(milliseconds(t.policy.EjectMs) / time.Duration(ejected))
+	for _, other := range p.targets {
+		if other != t && other.ejected {
+			other.ejectedUntil = max(other.ejectedUntil, next)
+		}
+	}
+}
+
 // timeUntilProbe returns the time until the next ejected target may be probed, at most one second.
 func (p *pool) timeUntilProbe(now core.Instant) time.Duration {
 	wait := time.Second
--- a/entry/limit/probe_test.go
+++ b/entry/limit/probe_test.go
@@ -1,6 +1,7 @@
 package limit
 
 import (
+	"slices"
 	"testing"
 	"time"
 
@@ -113,3 +114,56 @@
 	first.Release(succeeded)
 	assert.Equal(t, p.targets[1].inFlight, 1, "a waiter gets the free slot of the healthy target")
 }
+
+// TestProbesAreSpread guards against probes of all targets that failed together at the same moment: a request that was retried four
+// times met failing targets only. Without a healthy target, probes must not wait.
+func TestProbesAreSpread(t *testing.T) {
+	for name, healthy := range map[string]bool{"one healthy target": true, "no healthy target": false} {
+		t.Run(name, func(t *testing.T) {
+			f, l := newFixture(t, 4, 2, func(_ *core.Snapshot, policy *core.EffectivePolicy) { policy.EjectMaxPercent, policy.QueueMax = 100, 0 })
+			failing := map[string]bool{"t0": true, "t1": true, "t2": true, "t3": !healthy}
+			admit := func(avoid ...string) string {
+				g, _ := f.tryAdmit(l, func(r *core.AdmitRequest) { r.Avoid = avoid })
+				if g == nil {
+					return ""
+				}
+				outcome := succeeded
+				if failing[g.Target().Target] {
+					outcome = failed
+				}
+				g.Release(outcome)
+				return g.Target().Target
+			}
+			for target := range failing {
+				for range 3 {
+					admit(slices.DeleteFunc([]string{"t0", "t1", "t2", "t3"}, func(name string) bool { return name == target })...)
+				}
+			}
+			probes, most, probed := 0, 0, map[string]bool{}
+			for range 22 {
+				f.advance(50 * time.Millisecond)
+				now := 0
+				for range 4 {
+					if target := admit(); failing[target] {
+						now++
+						probed[target] = true
+					}
+				}
+				probes, most = probes+now, max(most, now)
+			}
+			if healthy {
+				assert.Equal(t, most, 1, "probes at the same moment")
+			} else {
+				assert.Equal(t, most, 4)
+			}
+			f.advance(time.Second)
+			for range 40 {
+				f.advance(50 * time.Millisecond)
+				probed[admit()] = true
+			}
+			for target := range failing {
+				assert.Assert(t, probed[target], "%s is never probed; %d probes", target, probes)
+			}
+		})
+	}
+}
