Run requests behind a started response after it

Cause: TestPipelinedResponses failed once: the first response of a connection was being sent before the request behind it had been read. When its target broke it off, the connection closed and the request behind, which had run, was lost. The order of the two was a race.

Ruled out: the bound of held responses; holding each response of up to 256 KiB, which would add its transfer time on slow links.

Change: a request that is read while an incomplete response is being sent runs after it. Whether a response may start is decided under the lock that also counts the requests of the connection. The test sends its requests in one write, and its targets break off after 50 ms.

--- a/entry/intake/conn.go
+++ b/entry/intake/conn.go
@@ -58,6 +58,8 @@
 	reader         *bufio.Reader
 	// readingRequest means that a part of a request has been read that is not in the response queue yet.
 	readingRequest bool
+	// streaming means that the head of an incomplete response was written. Requests that are read from then on run after it.
+	streaming bool
 	// closeRequested means that the connection closes after the responses to the requests of which a part has been read.
 	closeRequested bool
 	server         *Server
@@ -113,6 +115,7 @@
 	c.mutex.Lock()
 	defer c.mutex.Unlock()
 	c.closeRequested = c.closeRequested || closeWanted || mustClose
+	c.streaming = true
 	c.closeAnnounced = mustClose || c.closeRequested && c.pendingResponses == 1 && !c.readingRequest
 	return c.closeAnnounced
 }
@@ -124,6 +127,7 @@
 	defer c.mutex.Unlock()
 	c.closeRequested = c.closeRequested || closeWanted
 	c.pendingResponses--
+	c.streaming = false
 	if mustClose || c.closeAnnounced || c.closeRequested && c.pendingResponses == 0 {
 		c.ended = true
 	}
@@ -137,11 +141,21 @@
 	return c.pendingResponses == 0
 }
 
-// isPipelined reports whether the caller has sent a request before the response to an earlier one.
-func (c *conn) isPipelined() bool {
+// isStreaming reports whether the head of an incomplete response was written. If its target breaks it off, the connection fails, so
+// that a request that is read meanwhile must not run yet.
+func (c *conn) isStreaming() bool {
 	c.mutex.Lock()
 	defer c.mutex.Unlock()
-	return c.pipelined
+	return c.streaming
+}
+
+// startStreaming reports whether the head of an incomplete response may be written although the response could be held. It may not
+// if the caller has sent a request before the response to an earlier one.
+func (c *conn) startStreaming() bool {
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	c.streaming = !c.pipelined
+	return c.streaming
 }
 
 // readRequest reads the head of the next request.
@@ -266,7 +280,7 @@
 	if e == nil {
 		return false
 	}
-	if c.server.Idempotent == nil || !c.server.Idempotent(request) {
+	if c.server.Idempotent == nil || !c.server.Idempotent(request) || c.isStreaming() {
 		e.awaitTurn()
 	}
 	if c.ctx.Err() != nil || c.isEnded() {
--- a/entry/intake/exchange.go
+++ b/entry/intake/exchange.go
@@ -147,15 +147,14 @@
 // is complete or MaxHeldBytes is reached: if its target breaks it off, an error response replaces it, and the connection with the
 // responses behind it stays open.
 func (e *exchange) mayStart() bool {
-	if e.conn.isPipelined() {
-		return false
-	}
-	select {
-	case <-e.previousDone:
-		return true
-	default:
-		return e.previousDone == nil
+	if e.previousDone != nil {
+		select {
+		case <-e.previousDone:
+		default:
+			return false
+		}
 	}
+	return e.conn.startStreaming()
 }
 
 // WriteHeader implements http.ResponseWriter.
--- a/entry/intake/intake_test.go
+++ b/entry/intake/intake_test.go
@@ -783,7 +783,6 @@
 			var ran atomic.Int64
 			started, write, release := make(chan struct{}), make(chan struct{}), make(chan struct{})
 			releaseOnce := sync.OnceFunc(func() { close(release) })
-			t.Cleanup(releaseOnce)
 			s, address := start(t, func(w http.ResponseWriter, r *http.Request) {
 				if ran.Add(1); r.Method == http.MethodPost {
 					return
@@ -799,6 +798,7 @@
 				<-release
 				_, _ = io.WriteString(w, "cd")
 			})
+			t.Cleanup(releaseOnce)
 			c := dial(t, address)
 			c.send(get("/"))
 			<-started
@@ -827,3 +827,48 @@
 		})
 	}
 }
+
+// TestRequestBehindStartedResponse guards against a request that runs while the response before it is being sent and may still break
+// off: its own response is lost then.
+func TestRequestBehindStartedResponse(t *testing.T) {
+	for name, breaks := range map[string]bool{"broken off": true, "complete": false} {
+		t.Run(name, func(t *testing.T) {
+			var ran atomic.Int64
+			release := make(chan struct{})
+			releaseOnce := sync.OnceFunc(func() { close(release) })
+			_, address := start(t, func(w http.ResponseWriter, r *http.Request) {
+				if r.URL.Path == "/2" {
+					ran.Add(1)
+					_, _ = io.WriteString(w, "second")
+					return
+				}
+				w.Header().Set("Content-Length", "100000")
+				_, _ = io.WriteString(w, strings.Repeat("x", 80_000))
+				<-release
+				if breaks {
+					panic(http.ErrAbortHandler)
+				}
+				_, _ = io.WriteString(w, strings.Repeat("x", 20_000))
+			})
+			t.Cleanup(releaseOnce)
+			c := dial(t, address)
+			c.send(get("/1"))
+			response, err := http.ReadResponse(c.reader, nil)
+			assert.NilError(t, err)
+			c.send(get("/2"))
+			time.Sleep(50 * time.Millisecond) // The request has been read.
+			assert.Equal(t, ran.Load(), int64(0))
+			releaseOnce()
+			n, err := io.Copy(io.Discard, response.Body)
+			assert.NilError(t, response.Body.Close())
+			if breaks {
+				assert.Assert(t, err != nil)
+				assert.Equal(t, ran.Load(), int64(0), "a request ran whose response is lost")
+				return
+			}
+			assert.NilError(t, err)
+			assert.Equal(t, n, int64(100_000))
+			assert.Equal(t, c.receive("GET").body, "second")
+		})
+	}
+}
--- a/entry/proxy/pipeline_test.go
+++ b/entry/proxy/pipeline_test.go
@@ -61,6 +61,7 @@
 		}
 		return
 	case "cut", "broken":
+		time.Sleep(50 * time.Millisecond) // The requests behind have been read.
 		if parts[1] == "cut" {
 			w.Header().Set("Content-Length", parts[2])
 		}
@@ -107,14 +108,16 @@
 			assert.NilError(t, err)
 			defer func() { _ = socket.Close() }()
 			assert.NilError(t, socket.SetDeadline(time.Now().Add(10*time.Second)))
+			var requests strings.Builder
 			for _, path := range c.paths {
 				deadline := 400
 				if strings.HasPrefix(path, "/late") {
 					deadline = 2000
 				}
-				_, err := fmt.Fprintf(socket, "GET %s HTTP/1.1\r\nHost: board.test\r\nEbony-Deadline-Ms: %d\r\n\r\n", path, deadline)
-				assert.NilError(t, err)
+				_, _ = fmt.Fprintf(&requests, "GET %s HTTP/1.1\r\nHost: board.test\r\nEbony-Deadline-Ms: %d\r\n\r\n", path, deadline)
 			}
+			_, err = io.WriteString(socket, requests.String())
+			assert.NilError(t, err)
 			reader := bufio.NewReader(socket)
 			for i, want := range c.want {
 				response, err := http.ReadResponse(reader, nil)
