Leave targets alone that say they are leaving or busy

Cause: Server-Leaving was not read, and a target that refused with Retry-After got another request after 0.1 s.

Change: the dialect translates both headers to core.PauseRequest; the proxy records it on the grant as soon as the head of the response has arrived, and checks the grant again before it writes a request. entry/pause keeps it for each start of a target, with 30 s as the longest time; the placer chooses no such target. If all targets of a service ask for a time, requests are refused with the time until the first may be used.

Figures: played by TestRefusingTargetsAreLeftAlone, 3 of 9 targets refuse with Retry-After: 2; before, one gets a request 150 ms after its refusal, after, none within 2 s. TestLeavingTargets, TestAllTargetsPaused and TestTargetsAskForPause fail before and pass after.

--- a/core/dialect.go
+++ b/core/dialect.go
@@ -39,6 +39,8 @@
 	NotRun bool
 	// OtherTarget means that another target now uses the address.
 	OtherTarget bool
+	// Pause is what the target asks for.
+	Pause PauseRequest
 	// RequestID identifies the request that the response belongs to, or is empty if the response has no ID.
 	RequestID string
 	// Unverified means that the response reports success without the headers that prove that it comes from a target.
--- a/entry/place/grant.go
+++ b/entry/place/grant.go
@@ -7,7 +7,10 @@
 	"ebonyrouter.dev/core"
 )
 
-var _ core.Grant = (*grant)(nil)
+var (
+	_ core.Grant         = (*grant)(nil)
+	_ core.PausableGrant = (*grant)(nil)
+)
 
 // grant is the permission to send one request to a target; it counts as in flight there until it is released.
 type grant struct {
@@ -22,6 +25,8 @@
 	ref       core.TargetRef
 	request   core.AdmitRequest
 	released  bool
+	// startedMs identifies the start of the target for which the grant is.
+	startedMs int64
 }
 
 // Release implements core.Grant.Release.
@@ -37,6 +42,18 @@
 	g.placer.release(g, outcome, first)
 }
 
+// Paused implements core.PausableGrant.Paused.
+func (g *grant) Paused() bool {
+	return g.placer.paused(g)
+}
+
+// RecordPause implements core.PausableGrant.RecordPause.
+func (g *grant) RecordPause(request core.PauseRequest) {
+	if request != (core.PauseRequest{}) {
+		g.placer.recordPause(g, request)
+	}
+}
+
 // Target implements core.Grant.Target.
 func (g *grant) Target() core.TargetRef {
 	return g.ref
--- a/entry/place/placer.go
+++ b/entry/place/placer.go
@@ -66,7 +66,7 @@
 	best := selected.best
 	if best.target == nil {
 		return best, targetState{targetsVersion: p.targetsVersion}, nil, &core.RejectedError{
-			Code: codes.NoPermittedTarget, RetryAfter: noTargetRetryAfter, Text: "no usable target of the service is known",
+			Code: codes.NoPermittedTarget, RetryAfter: p.retryAfter(request, now), Text: "no usable target of the service is known",
 		}
 	}
 	p.remoteShare.decide(selected.wantsRemote)
@@ -92,7 +92,7 @@
 	if chosen.key != 0 {
 		t.keys.use(chosen.key)
 	}
-	granted := &grant{choice: chosen, placer: p, ref: p.ref(t), request: *request, sent: now}
+	granted := &grant{choice: chosen, placer: p, ref: p.ref(t), request: *request, sent: now, startedMs: t.StartedMs}
 	t.outstanding = append(t.outstanding, granted)
 	return granted
 }
@@ -207,7 +207,7 @@
 // working reports whether the target could serve the request, regardless of backoffs, the rate limit of a cold target and
 // earlier attempts of the request. A target with failureLimit consecutive failures does not count.
 func (p *Placer) working(t *target, request *core.AdmitRequest) bool {
-	return t.State == core.TargetReady && !p.drainedZones[t.Zone] && t.consecutiveFailures < failureLimit &&
+	return t.State == core.TargetReady && !t.pause.Leaving() && !p.drainedZones[t.Zone] && t.consecutiveFailures < failureLimit &&
 		(len(request.HomeRegions) == 0 || slices.Contains(request.HomeRegions, t.Region))
 }
 
@@ -218,7 +218,7 @@
 		return false
 	case len(request.HomeRegions) > 0 && !slices.Contains(request.HomeRegions, t.Region):
 		return false
-	case now.Before(t.avoidUntil):
+	case now.Before(t.avoidUntil), t.pause.Active(now):
 		return false
 	case t.ColdRemaining(now) > 0:
 		return !now.Before(t.coldNext) && coldSender(t.ID, p.HostNames(t.Region)) == p.Host
--- a/entry/place/target.go
+++ b/entry/place/target.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"ebonyrouter.dev/core"
+	"ebonyrouter.dev/entry/pause"
 )
 
 const (
@@ -46,6 +47,8 @@
 	slowdown     float64
 	slowdownTime core.Instant
 	avoidUntil   core.Instant
+	// pause is what the target has asked for. Unlike avoidUntil, a success does not end it.
+	pause pause.Target
 }
 
 // busy estimates the number of requests that are running or queued at the target. A fresh load report of the target takes
--- a/entry/proxy/attempt.go
+++ b/entry/proxy/attempt.go
@@ -78,6 +78,12 @@
 		req.addAvoidTarget(target.Target)
 		return p.connectFailure(ctx, req, target.Address, err, grant.Release)
 	}
+	if pausable, ok := grant.(core.PausableGrant); ok && pausable.Paused() {
+		// Another response has arrived while this request waited for its connection. The target is not chosen again.
+		c.pool.put(c)
+		grant.Release(core.Outcome{})
+		return p.forward(ctx, req)
+	}
 	now := p.Timer.Now()
 	c.begin(req.deadline, req.attemptDeadline(now), grant.ValidUntil)
 	c.markTarget()
@@ -85,6 +91,9 @@
 	p.prepareTargetHeaders(req, out, target)
 	result := p.exchange(ctx, req, c, out, grant.Release)
 	p.interpretTargetResponse(req, result)
+	if pausable, ok := grant.(core.PausableGrant); ok {
+		pausable.RecordPause(result.pause)
+	}
 	p.prefetch(req, result)
 	if result.shed || result.retryable || (result.failure != nil && !result.closedWhileIdle) {
 		req.addAvoidTarget(target.Target)
--- a/entry/proxy/attempt_result.go
+++ b/entry/proxy/attempt_result.go
@@ -27,6 +27,8 @@
 	retryable bool
 	// otherTarget means that a different target now uses the address.
 	otherTarget bool
+	// pause is what the target asked for with its response.
+	pause core.PauseRequest
 	// release releases the grant of the attempt.
 	release  func(core.Outcome)
 	response *http.Response
--- a/entry/proxy/dialect.go
+++ b/entry/proxy/dialect.go
@@ -34,6 +34,7 @@
 func (p *Proxy) interpretByDialect(req *request, result *attemptResult) {
 	interpreted := p.Dialect.ReadResponse(result.response.StatusCode, result.response.Header)
 	result.load, result.hasLoad = interpreted.Load, interpreted.HasLoad
+	result.pause = interpreted.Pause
 	result.code = codes.OK
 	result.ran = core.RanYes
 	switch {
--- a/entry/proxy/retry.go
+++ b/entry/proxy/retry.go
@@ -34,6 +34,9 @@
 		status:     result.response.StatusCode,
 		text:       "the upstream or the peer answered with status " + strconv.Itoa(result.response.StatusCode),
 	}
+	if result.pause.RetryAfter > 0 {
+		fail.retryAfter = result.pause.RetryAfter
+	}
 	result.finish(false, false)
 	return &attemptResult{failure: fail, ran: fail.ran}
 }
