--- a/entry/intake/conn.go
+++ b/entry/intake/conn.go
@@ -37,22 +37,30 @@
 // conn is one connection of a caller.
 type conn struct {
 	cancel context.CancelFunc
-	ctx    context.Context //nolint:containedctx // Requests inherit it; it ends with the connection.
+	// closeAnnounced means that the head of the last response was written.
+	closeAnnounced bool
+	ctx            context.Context //nolint:containedctx // Requests inherit it; it ends with the connection.
 	// ended means that the last response is being sent or the connection has failed; no further request is served.
 	ended bool
 	// writeClosed means that the last response was written and the connection is closed for writing.
 	writeClosed bool
 	// head limits the size of request heads.
-	head             *heads.Reader
+	head *heads.Reader
+	// heldBytes is the memory of the responses that are held.
+	heldBytes        int64
 	lastExchange     *exchange
 	mutex            sync.Mutex
 	pendingResponses int
+	// pipelined means that a request was read before the response to an earlier one had been sent.
+	pipelined bool
 	// pipelineTokens holds one element for each request that is being served; its capacity limits them.
 	pipelineTokens chan struct{}
 	socket         net.Conn
 	reader         *bufio.Reader
 	// readingRequest means that a part of a request has been read that is not in the response queue yet.
 	readingRequest bool
+	// streaming means that the head of an incomplete response was written. Requests that are read from then on run after it.
+	streaming bool
 	// closeRequested means that the connection closes after the responses to the requests of which a part has been read.
 	closeRequested bool
 	server         *Server
@@ -89,7 +97,7 @@
 func (c *conn) enqueue(request *http.Request) *exchange {
 	c.mutex.Lock()
 	defer c.mutex.Unlock()
-	if c.ended || c.closeRequested && !c.readingRequest {
+	if c.ended || c.closeAnnounced || c.closeRequested && !c.readingRequest {
 		return nil
 	}
 	c.readingRequest = false
@@ -99,19 +107,34 @@
 		e.previousDone = c.lastExchange.done
 	}
 	c.lastExchange = e
+	c.pipelined = c.pipelined || c.pendingResponses > 0
 	c.pendingResponses++
+	c.closeRequested = c.closeRequested || request.Close
 	return e
 }
 
+// announceClose decides, before the head of an incomplete response is written, whether it is the last one of the connection. If
+// closeWanted is set, the connection closes after the responses to the requests read so far; if mustClose is set, it closes after
+// this one, because the close is the end of its body.
+func (c *conn) announceClose(closeWanted, mustClose bool) bool {
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	c.closeRequested = c.closeRequested || closeWanted || mustClose
+	c.streaming = true
+	c.closeAnnounced = mustClose || c.closeRequested && c.pendingResponses == 1 && !c.readingRequest
+	return c.closeAnnounced
+}
+
 // completeRequest removes a request from the queue and reports whether its response is the last one of the connection.
-// If closeWanted is set, the connection closes after the responses to the requests read so far.
-func (c *conn) completeRequest(closeWanted bool) bool {
+// closeWanted and mustClose are as for announceClose.
+func (c *conn) completeRequest(closeWanted, mustClose bool) bool {
 	c.mutex.Lock()
 	defer c.mutex.Unlock()
 	c.charged.endServing(c.pendingResponses)
 	c.closeRequested = c.closeRequested || closeWanted
 	c.pendingResponses--
-	if c.closeRequested && c.pendingResponses == 0 {
+	c.streaming = false
+	if mustClose || c.closeAnnounced || c.closeRequested && c.pendingResponses == 0 {
 		c.ended = true
 	}
 	return c.ended
@@ -124,6 +147,23 @@
 	return c.pendingResponses == 0
 }
 
+// isStreaming reports whether the head of an incomplete response was written. If its target breaks it off, the connection fails, so
+// that a request that is read meanwhile must not run yet.
+func (c *conn) isStreaming() bool {
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	return c.streaming
+}
+
+// startStreaming reports whether the head of an incomplete response may be written although the response could be held. It may not
+// if the caller has sent a request before the response to an earlier one.
+func (c *conn) startStreaming() bool {
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	c.streaming = !c.pipelined
+	return c.streaming
+}
+
 // readRequest reads the head of the next request.
 func (c *conn) readRequest() (*http.Request, error) {
 	if c.reader.Buffered() == 0 {
@@ -253,10 +293,10 @@
 	if e == nil {
 		return false
 	}
-	if c.server.Idempotent == nil || !c.server.Idempotent(request) {
+	if c.server.Idempotent == nil || !c.server.Idempotent(request) || c.isStreaming() {
 		e.awaitTurn()
 	}
-	if c.ctx.Err() != nil {
+	if c.ctx.Err() != nil || c.isEnded() {
 		close(e.done)
 		return false
 	}
--- a/entry/place/target.go
+++ b/entry/place/target.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"ebonyrouter.dev/core"
+	"ebonyrouter.dev/entry/pause"
 )
 
 const (
@@ -47,6 +48,8 @@
 	slowdownTime core.Instant
 	avoidUntil   core.Instant
 	workTime     workTime
+	// pause is what the target has asked for. Unlike avoidUntil, a success does not end it.
+	pause pause.Target
 }
 
 // busy estimates the number of requests that are running or queued at the target. A fresh load report of the target takes
--- a/entry/proxy/attempt.go
+++ b/entry/proxy/attempt.go
@@ -78,15 +78,9 @@
 		req.addAvoidTarget(target.Target)
 		return p.connectFailure(ctx, req, target.Address, err, grant.Release)
 	}
-	release, permitted := p.boundBytes(ctx, req, c, grant.Release)
-	if !permitted {
-		c.pool.put(c)
-		grant.Release(core.Outcome{})
-		req.addAvoidTarget(target.Target)
-		return &attemptResult{failure: notRun(codes.QueueFull, "bodies in flight to the target reach their limit"), ran: core.RanNo, bodyUnread: true}
-	}
-	if fail := p.checkAttempt(req); fail != nil {
-		return withholdAttempt(c, fail, release)
+	release, withheld := p.prepareSend(ctx, req, grant, c)
+	if withheld != nil {
+		return withheld
 	}
 	now := p.Timer.Now()
 	c.begin(req.deadline, req.attemptDeadline(now), grant.ValidUntil)
@@ -95,6 +89,9 @@
 	p.prepareTargetHeaders(req, out, target)
 	result := p.exchange(ctx, req, c, out, release)
 	p.interpretTargetResponse(req, result)
+	if pausable, ok := grant.(core.PausableGrant); ok {
+		pausable.RecordPause(result.pause)
+	}
 	p.prefetch(req, result)
 	if result.shed || result.retryable || (result.failure != nil && !result.closedWhileIdle) {
 		req.addAvoidTarget(target.Target)
@@ -344,6 +341,28 @@
 	return &attemptResult{failure: notRun(codes.TooManyHops, "request was relayed 3 times"), final: true, ran: core.RanNo, bodyUnread: true}
 }
 
+// prepareSend checks immediately before an attempt is written to a target whether it may be. It returns the function that releases the
+// attempt, or the result of an attempt that was not sent and whose connection and grant were returned.
+func (p *Proxy) prepareSend(ctx context.Context, req *request, grant core.Grant, c *conn) (release func(core.Outcome), withheld *attemptResult) {
+	release, permitted := p.boundBytes(ctx, req, c, grant.Release)
+	if !permitted {
+		c.pool.putUnused(c)
+		release(core.Outcome{})
+		req.addAvoidTarget(grant.Target().Target)
+		return nil, &attemptResult{failure: notRun(codes.QueueFull, "bodies in flight to the target reach their limit"), ran: core.RanNo, bodyUnread: true}
+	}
+	if pausable, ok := grant.(core.PausableGrant); ok && pausable.Paused() {
+		// Another response has arrived while this request waited for its connection. The target is not chosen again.
+		c.pool.putUnused(c)
+		release(core.Outcome{})
+		return nil, p.forward(ctx, req)
+	}
+	if fail := p.checkAttempt(req); fail != nil {
+		return nil, withholdAttempt(c, fail, release)
+	}
+	return release, nil
+}
+
 // withholdAttempt returns the connection and the grant of an attempt of which nothing was sent, and the result of the attempt.
 func withholdAttempt(c *conn, fail *failure, release func(core.Outcome)) *attemptResult {
 	c.pool.putUnused(c)
