--- a/core/event/event.go
+++ b/core/event/event.go
@@ -20,7 +20,7 @@
 func All() []Info {
 	var all []Info
 	for _, table := range [][]Info{
-		processTable, linksTable, settingsTable, leaseTable, memberTable, requestTable, dedupTable, lookupTable, adminTable, storeTable, documentTable, targetTable,
+		processTable, linksTable, settingsTable, leaseTable, memberTable, requestTable, memoryTable, dedupTable, lookupTable, adminTable, storeTable, documentTable, targetTable,
 	} {
 		all = append(all, table...)
 	}
--- a/core/event/request.go
+++ b/core/event/request.go
@@ -16,13 +16,9 @@
 	RequestRejected    = Info{611, zapcore.InfoLevel, "request rejected before any target", "The request was not run; the fields state what was expected and after which time the caller may retry."}
 	RequestCompleted   = Info{612, zapcore.InfoLevel, "request completed", "A request has ended; the fields are its result code, whether it ran, its attempts and the version of the settings that determined its route."}
 	LinesDropped       = Info{613, zapcore.WarnLevel, "log lines dropped", "More lines were logged than the limit permits or than the reader of the log consumed; the field counts the dropped lines since the start."}
-	MemoryLimits       = Info{630, zapcore.InfoLevel, "memory limits", "The limits for callers and targets that derive from the memory and the descriptors of the host."}
-	MemoryExhausted    = Info{631, zapcore.WarnLevel, "memory budget exhausted", "Requests or connections were refused as not run since the last line, because the process holds as much as its host permits."}
-	ConnectionsRefused = Info{632, zapcore.WarnLevel, "connections refused", "A port has as many connections as its limit, or request heads were refused; the field counts them since the last line."}
-	ConnectionsEvicted = Info{633, zapcore.WarnLevel, "connections closed for others", "A port had as many connections as its limit; those without a complete request for longest were closed."}
 )
 
 var requestTable = []Info{
 	RequestTruncated, RequestTimedOut, RequestRefused, RequestLeaseEnded, RequestNotRecorded, RequestBroken, HandlerPanicked, CallerBroken,
-	RequestPlaced, RequestRejected, RequestCompleted, LinesDropped, MemoryLimits, MemoryExhausted, ConnectionsRefused, ConnectionsEvicted,
+	RequestPlaced, RequestRejected, RequestCompleted, LinesDropped,
 }
--- a/entry/proxy/memory.go
+++ b/entry/proxy/memory.go
@@ -1,10 +1,18 @@
 package proxy
 
-import "math"
+import (
+	"math"
+	"sync/atomic"
+)
 
-// heldClosed is the value of a request's heldBytes after its end, from which no sum of reservations returns to a positive number.
+// heldClosed is the value of a request's held bytes after its end, from which no sum of reservations returns to a positive number.
 const heldClosed = math.MinInt64 / 2
 
+// heldMemory counts the bytes that are reserved for a request.
+type heldMemory struct {
+	bytes atomic.Int64
+}
+
 // reserve counts bytes that are about to be held for a request until its end, or returns false if the budget does not permit them.
 func (p *Proxy) reserve(req *request, bytes int64) bool {
 	if p.Memory == nil || bytes <= 0 {
@@ -13,7 +21,7 @@
 	if !p.Memory.Reserve(bytes) {
 		return false
 	}
-	if req.heldBytes.Add(bytes) < 0 {
+	if req.held.bytes.Add(bytes) < 0 {
 		// An attempt that was given up has outlived the request.
 		p.Memory.Release(bytes)
 		return false
@@ -24,7 +32,7 @@
 // releaseAll returns what is reserved for a request at its end.
 func (p *Proxy) releaseAll(req *request) {
 	if p.Memory != nil {
-		p.Memory.Release(req.heldBytes.Swap(heldClosed))
+		p.Memory.Release(req.held.bytes.Swap(heldClosed))
 	}
 }
 
--- a/entry/proxy/request.go
+++ b/entry/proxy/request.go
@@ -4,7 +4,6 @@
 	"net/http"
 	"slices"
 	"sync"
-	"sync/atomic"
 	"time"
 
 	"ebonyrouter.dev/core"
@@ -13,8 +12,6 @@
 
 // request is the state of a caller's or relayed request while it is served.
 type request struct {
-	// heldBytes is what is reserved for the request.
-	heldBytes   atomic.Int64
 	affinityKey string
 	// attempts is the number of attempts made so far.
 	attempts     int
@@ -61,6 +58,8 @@
 	// upload is the latest attempt to send a streamed body.
 	upload *upload
 	writer http.ResponseWriter
+	// held is the memory that is reserved for the request.
+	held heldMemory
 }
 
 // addAvoidTarget excludes a target from later attempts.
