--- a/entry/intake/exchange.go
+++ b/entry/intake/exchange.go
@@ -5,6 +5,7 @@
 	"errors"
 	"fmt"
 	"io"
+	"net"
 	"net/http"
 	"strconv"
 	"strings"
@@ -12,21 +13,24 @@
 
 	"go.uber.org/zap"
 
+	"ebonyrouter.dev/core"
 	"ebonyrouter.dev/core/event"
 )
 
-// maxBufferedBytes is the size up to which a response is buffered while it waits for earlier responses.
+// maxBufferedBytes is the size up to which a response is buffered before its head is sent, if no request was pipelined on its
+// connection, and the size up to which the rest of a request body is discarded.
 const maxBufferedBytes = 64 << 10
 
 var (
+	_ core.HeldResponse   = (*exchange)(nil)
 	_ http.Flusher        = (*exchange)(nil)
 	_ http.ResponseWriter = (*exchange)(nil)
 )
 
 // exchange is one request and its response; it implements http.ResponseWriter.
 type exchange struct {
-	// body buffers the response body that has not been written to the connection, and bodySent counts the bytes written.
-	body    bytes.Buffer
+	// body is the response body that has not been written to the connection, and bodySent counts the bytes written.
+	body    held
 	chunked bool
 	conn    *conn
 	// bodyRead means that a streamed request body was read to its end.
@@ -40,31 +44,55 @@
 	contentLength int64
 	request       *http.Request
 	bodySent      int64
+	// finishing means that the response is complete, so that it is known whether it is the last one.
+	finishing bool
 	// headWritten means that the response head was written to the connection.
 	headWritten bool
-	status      int
+	// chargedBytes is what the request is charged to the connection's account.
+	chargedBytes int64
+	status       int
 	// streamed means that the handler reads the request body from the connection.
 	streamed bool
 	// previousDone is closed when the previous response has been sent; it is nil for the first response of a connection.
 	previousDone chan struct{}
+	// waited is the time for which calls of the handler have blocked until earlier responses were sent.
+	waited time.Duration
 }
 
 func newExchange(c *conn, request *http.Request) *exchange {
-	return &exchange{conn: c, done: make(chan struct{}), header: http.Header{}, contentLength: -1, request: request}
+	return &exchange{body: held{conn: c}, conn: c, done: make(chan struct{}), header: http.Header{}, contentLength: -1, request: request}
 }
 
 // EnableFullDuplex is called by http.ResponseController. It does nothing, because reading the request and writing the
 // response are always independent.
 func (e *exchange) EnableFullDuplex() error { return nil }
 
+// Discard implements core.HeldResponse.Discard.
+func (e *exchange) Discard() bool {
+	if e.headWritten {
+		return false
+	}
+	clear(e.header)
+	e.body.clear()
+	e.contentLength, e.status = -1, 0
+	return true
+}
+
+// WaitedForTurn implements core.HeldResponse.WaitedForTurn.
+func (e *exchange) WaitedForTurn() time.Duration { return e.waited }
+
 // Flush implements http.Flusher.
 func (e *exchange) Flush() { _ = e.FlushError() }
 
-// FlushError is called by http.ResponseController. It waits for earlier responses, then sends the buffered data.
+// FlushError is called by http.ResponseController. It sends the buffered data, unless the response is held: then the data is sent as
+// soon as the response is written.
 func (e *exchange) FlushError() error {
 	if e.status == 0 {
 		e.WriteHeader(http.StatusOK)
 	}
+	if !e.headWritten && !e.mayStart() {
+		return e.writeErr
+	}
 	e.writeBuffered()
 	if e.writeErr == nil {
 		e.writeErr = e.conn.writer.Flush()
@@ -97,26 +125,50 @@
 	if e.writeErr != nil {
 		return 0, e.writeErr
 	}
-	if e.contentLength >= 0 && e.bodySent+int64(e.body.Len()+len(data)) > e.contentLength {
-		return 0, http.ErrContentLength
+	remaining := int64(-1)
+	if e.contentLength >= 0 {
+		remaining = e.contentLength - e.bodySent - int64(e.body.size)
+		if int64(len(data)) > remaining {
+			return 0, http.ErrContentLength
+		}
 	}
 	if !e.hasBody() {
 		return len(data), nil
 	}
-	e.body.Write(data)
-	if e.body.Len() > maxBufferedBytes {
+	switch {
+	case e.headWritten || !e.body.add(data, remaining):
+		e.writeBuffered()
+		e.writeParts([][]byte{data}, len(data))
+	case e.body.size > maxBufferedBytes && e.mayStart():
 		e.writeBuffered()
 	}
 	return len(data), e.writeErr
 }
 
+// mayStart reports whether the response may be sent before it is complete. On a connection with pipelined requests it is held until it
+// is complete or MaxHeldBytes is reached: if its target breaks it off, an error response replaces it, and the connection with the
+// responses behind it stays open.
+func (e *exchange) mayStart() bool {
+	if e.previousDone != nil {
+		select {
+		case <-e.previousDone:
+		default:
+			return false
+		}
+	}
+	return e.conn.startStreaming()
+}
+
 // WriteHeader implements http.ResponseWriter.
 func (e *exchange) WriteHeader(status int) {
 	switch {
 	case e.status != 0:
 		return
 	case status >= http.StatusContinue && status < http.StatusOK:
-		e.awaitTurn()
+		e.awaitTurnInHandler()
+		if e.conn.isEnded() {
+			return
+		}
 		e.writeHead(status)
 		_ = e.conn.writer.Flush()
 		return
@@ -139,6 +191,13 @@
 	}
 }
 
+// awaitTurnInHandler is awaitTurn for calls of the handler. It adds the time to waited.
+func (e *exchange) awaitTurnInHandler() {
+	start := time.Now()
+	e.awaitTurn()
+	e.waited += time.Since(start)
+}
+
 // discardBody reports whether a streamed body was read to its end, so that another request can follow. It first
 // discards an unread remainder of less than maxBufferedBytes.
 func (e *exchange) discardBody() bool {
@@ -152,20 +211,36 @@
 // finish sends the rest of the response and lets the next response be sent.
 func (e *exchange) finish() {
 	defer close(e.done)
+	defer e.body.clear()
 	if e.status == 0 {
 		e.WriteHeader(http.StatusOK)
 	}
 	e.setContentLength()
 	e.awaitTurn()
-	incomplete := e.contentLength >= 0 && e.hasBody() && e.bodySent+int64(e.body.Len()) < e.contentLength
-	last := e.conn.completeRequest(e.wantsClose() || incomplete)
+	if e.conn.isEnded() {
+		// The connection failed, or an earlier response was its last one: the caller sends the request again.
+		e.conn.completeRequest(false, false)
+		return
+	}
+	e.finishing = true
+	incomplete := e.contentLength >= 0 && e.hasBody() && e.bodySent+int64(e.body.size) < e.contentLength
+	last := e.conn.completeRequest(e.wantsClose() || incomplete || e.streamed && !e.bodyRead, e.endsWithClose())
+	if !e.headWritten {
+		e.setConnection(last)
+	}
+	e.writeRest()
 	switch {
-	case e.headWritten:
+	case e.writeErr != nil || incomplete:
+		e.conn.abort("the response could not be completed", e.writeErr)
 	case last:
-		e.header.Set("Connection", "close")
-	default:
-		e.header.Del("Connection")
+		e.conn.closeWrite()
+		// Requests behind the last response are given up.
+		e.conn.cancel()
 	}
+}
+
+// writeRest sends what is left of the response.
+func (e *exchange) writeRest() {
 	e.writeBuffered()
 	if e.chunked && e.writeErr == nil {
 		e.writeTrailer()
@@ -173,21 +248,28 @@
 	if e.writeErr == nil {
 		e.writeErr = e.conn.writer.Flush()
 	}
-	switch {
-	case e.writeErr != nil || incomplete:
-		e.conn.abort("the response could not be completed", e.writeErr)
-	case last:
-		e.conn.closeWrite()
+}
+
+// setConnection announces in the head whether the connection closes after the response.
+func (e *exchange) setConnection(last bool) {
+	e.header.Del("Connection")
+	if last {
+		e.header.Set("Connection", "close")
 	}
 }
 
+// endsWithClose reports whether the end of the connection is the end of the body.
+func (e *exchange) endsWithClose() bool {
+	return e.contentLength < 0 && e.hasBody() && !e.request.ProtoAtLeast(1, 1)
+}
+
 // setContentLength sets Content-Length for a response that is complete before its head is written.
 func (e *exchange) setContentLength() {
 	if e.headWritten || e.contentLength >= 0 || !e.hasBody() || len(e.trailers()) > 0 {
 		return
 	}
-	e.contentLength = int64(e.body.Len())
-	e.header.Set("Content-Length", strconv.Itoa(e.body.Len()))
+	e.contentLength = int64(e.body.size)
+	e.header.Set("Content-Length", strconv.Itoa(e.body.size))
 }
 
 // hasBody reports whether the response may have a body.
@@ -197,28 +279,45 @@
 
 // writeBuffered writes the head, unless it is written already, and the buffered part of the body.
 func (e *exchange) writeBuffered() {
-	e.awaitTurn()
+	e.awaitTurnInHandler()
+	if !e.finishing && e.conn.isEnded() {
+		e.writeErr = net.ErrClosed
+	}
 	if e.writeErr != nil {
 		return
 	}
 	_ = e.conn.socket.SetWriteDeadline(e.nextWriteDeadline(time.Now()))
 	if !e.headWritten {
+		if !e.finishing {
+			e.setConnection(e.conn.announceClose(e.wantsClose(), e.endsWithClose()))
+		}
 		e.headWritten = true
 		e.chunked = e.contentLength < 0 && e.hasBody() && e.request.ProtoAtLeast(1, 1)
-		if e.contentLength < 0 && e.hasBody() && !e.chunked {
-			e.header.Set("Connection", "close")
-		}
 		e.writeHead(e.status)
 	}
-	if e.body.Len() == 0 {
+	e.writeParts(e.body.parts, e.body.size)
+	e.body.clear()
+}
+
+// writeParts writes a part of the body, which has size bytes, behind the head.
+func (e *exchange) writeParts(parts [][]byte, size int) {
+	if size == 0 || e.writeErr != nil {
 		return
 	}
 	w := e.conn.writer
-	e.bodySent += int64(e.body.Len())
+	e.bodySent += int64(size)
 	if e.chunked {
-		_, _ = fmt.Fprintf(w, "%x\r\n", e.body.Len())
+		_, _ = fmt.Fprintf(w, "%x\r\n", size)
+	}
+	for _, part := range parts {
+		if !e.writeDeadline.IsZero() {
+			// A deadline that has passed during the wait leaves minWriteTimeout for each part, not for a body of a megabyte.
+			_ = e.conn.socket.SetWriteDeadline(e.nextWriteDeadline(time.Now()))
+		}
+		if e.writeErr == nil {
+			_, e.writeErr = w.Write(part)
+		}
 	}
-	_, e.writeErr = e.body.WriteTo(w)
 	if e.chunked && e.writeErr == nil {
 		_, e.writeErr = w.WriteString("\r\n")
 	}
@@ -233,6 +332,10 @@
 	}
 	if strings.EqualFold(r.Header.Get("Expect"), "100-continue") {
 		e.awaitTurn()
+		if e.conn.isEnded() {
+			close(e.done)
+			return false
+		}
 		_, _ = e.conn.writer.WriteString("HTTP/1.1 100 Continue\r\n\r\n")
 		if err := e.conn.writer.Flush(); err != nil {
 			e.conn.abort("the caller does not read", err)
@@ -246,6 +349,10 @@
 	}
 	_ = e.conn.socket.SetReadDeadline(time.Now().Add(e.conn.server.IdleTimeout))
 	var buffered bytes.Buffer
+	if r.ContentLength > 0 {
+		// The exact size avoids buffers that are twice as large as the body.
+		buffered.Grow(int(r.ContentLength) + bytes.MinRead)
+	}
 	_, err := io.CopyN(&buffered, r.Body, limit)
 	_ = e.conn.socket.SetReadDeadline(time.Time{})
 	switch {
@@ -274,17 +381,18 @@
 			event.HandlerPanicked.Write(e.conn.server.Log, zap.Any("panic", cause), zap.Stack("stack"))
 		}
 		e.awaitTurn()
-		e.conn.abort("the handler gave the response up", nil)
+		if !e.conn.isEnded() {
+			e.conn.abort("the handler gave the response up", nil)
+		}
+		e.body.clear()
 		close(e.done)
 	}()
 	e.conn.server.Handler.ServeHTTP(e, e.request)
 }
 
-// wantsClose reports whether the caller, the handler or the protocol requires the connection to close after the
-// response.
+// wantsClose reports whether the caller or the handler requires the connection to close after the response.
 func (e *exchange) wantsClose() bool {
-	return e.request.Close || hasToken(e.header["Connection"], "close") ||
-		(e.headWritten && !e.chunked && e.contentLength < 0 && e.hasBody()) || (e.streamed && !e.bodyRead)
+	return e.request.Close || hasToken(e.header["Connection"], "close")
 }
 
 // nextWriteDeadline returns the deadline of a write that begins now. Time spent waiting for earlier responses does not
--- a/entry/proxy/request.go
+++ b/entry/proxy/request.go
@@ -61,6 +61,8 @@
 	// upload is the latest attempt to send a streamed body.
 	upload *upload
 	writer http.ResponseWriter
+	// held is the memory that is reserved for the request.
+	held heldMemory
 }
 
 // addAvoidTarget excludes a target from later attempts.
