Trust a relay only while its own watch shows the newest state

Cause: the age that a relay stated counted from any response of the store, also from serializable ones and those of other kinds. A relay in the first 3 s after its start, whose watches may be seconds old, and one whose watch of a kind was silent were believed. A list did not begin a new history, so that requests were held, up to 1 s, which lacked the changes before it or were of an earlier era. A relay that was paused after its watch had been silent for 2.5 s was left only 1.5 s later, after 4 s. Change: the age counts for each kind from the last linearizable response, for a list from before its call. Lists are recorded. A request is not held until the relay is too old, and one that cannot be answered is refused at once. A host waits less for a relay the longer it has not known the newest state.

--- a/core/store_changes.go
+++ b/core/store_changes.go
@@ -29,7 +29,7 @@
 }
 
 // StoreChanges is the reply to StoreChangesGet: all changes up to the revision AsOf. AgeMs is the time in milliseconds since the relay
-// last heard from the store.
+// last knew the newest state of the kind.
 type StoreChanges struct {
 	_msgpack struct{} `msgpack:",as_array"` //nolint:unused // Read by the msgpack package.
 
--- a/steer/relay/config.go
+++ b/steer/relay/config.go
@@ -18,6 +18,7 @@
 	// Self is the link address of this host.
 	Self  string
 	Timer core.Timer
-	// MaxAge is the time since its last contact with the store up to which a relay is trusted.
+	// MaxAge is the time up to which a relay is trusted since it last knew the newest state of a kind. Responses for other kinds do
+	// not count: they come also while the connection of one watch is silent.
 	MaxAge time.Duration
 }
--- a/steer/relay/history.go
+++ b/steer/relay/history.go
@@ -2,6 +2,7 @@
 
 import (
 	"sync"
+	"sync/atomic"
 
 	"ebonyrouter.dev/core"
 )
@@ -20,17 +21,28 @@
 	size    int
 }
 
+// excerpt is the part of a history after a revision.
+type excerpt struct {
+	asOf      int64
+	changes   []core.StoreChange
+	currentAt core.Instant
+}
+
 // history holds the newest changes of one kind of objects.
 type history struct {
 	batches []batch
 	// begin and end are the revisions after and up to which all changes are known, of the given era of the store; end is 0 if
 	// nothing is known.
 	begin, end, era int64
-	// changed is closed and replaced whenever end rises.
+	// changed is closed and replaced with each response and with the first failed call after one.
 	changed chan struct{}
 	count   int
+	// currentAt is the core.Instant at which the newest state was known, or 0.
+	currentAt core.Instant
 	// failing is set from a failed call to the next response of the store.
 	failing bool
+	// knownAt is the core.Instant at which this host last knew the newest state, by itself or from a relay, or 0.
+	knownAt atomic.Int64
 	mutex   sync.Mutex
 	size    int
 }
@@ -39,22 +51,19 @@
 	return &history{changed: make(chan struct{})}
 }
 
-// add records a response of the store: the changes after one revision up to another. A response that does not continue the last one
-// begins a new history.
-func (h *history) add(after, asOf, era int64, changes []core.StoreChange) {
+// add records a response of the store. One that does not continue the last one, or a list of other objects than are known, begins a new
+// history, so that hosts which lack earlier changes read the store.
+func (h *history) add(r *Response) {
 	h.mutex.Lock()
 	defer h.mutex.Unlock()
-	if h.era != era || h.end != after {
-		h.batches, h.count, h.size = nil, 0, 0
-		h.begin, h.era = after, era
+	if h.era != r.Era || h.end != r.After {
+		h.batches, h.count, h.size, h.currentAt = nil, 0, 0, 0
+		h.begin, h.era = r.After, r.Era
 	}
-	if len(changes) > 0 {
-		b := batch{asOf: asOf, changes: changes}
-		for _, c := range changes {
-			b.size += len(c.Object)
-		}
+	if len(r.Changes) > 0 {
+		b := batch{asOf: r.AsOf, changes: r.Changes, size: size(r.Changes)}
 		h.batches = append(h.batches, b)
-		h.count += len(changes)
+		h.count += len(r.Changes)
 		h.size += b.size
 	}
 	for len(h.batches) > 0 && (h.count > maxHistory || h.size > maxHistoryBytes) {
@@ -64,7 +73,13 @@
 		h.size -= oldest.size
 		h.batches = h.batches[1:]
 	}
-	h.end, h.failing = asOf, false
+	h.end, h.failing = r.AsOf, false
+	h.currentAt = max(h.currentAt, r.CurrentAt)
+	h.notify()
+}
+
+// notify wakes the requests that wait for a change; the caller holds the mutex.
+func (h *history) notify() {
 	close(h.changed)
 	h.changed = make(chan struct{})
 }
@@ -77,23 +92,32 @@
 		return
 	}
 	h.failing = true
-	close(h.changed)
-	h.changed = make(chan struct{})
+	h.notify()
 }
 
-// since returns the changes after a revision of an era and the revision up to which they are complete, or false if they are not known.
-// A batch is returned whole, so that changes up to the revision may be repeated. If there is no change yet, changed is closed with the
-// next one.
-func (h *history) since(after, era int64) (changes []core.StoreChange, asOf int64, changed <-chan struct{}, known bool) {
+// since returns the changes after a revision of an era, the revision up to which they are complete and the core.Instant at which no
+// others existed, or false if they are not known. A batch is returned whole, so that changes up to the revision may be repeated. If there
+// is no change yet, changed is closed with the next response.
+func (h *history) since(after, era int64) (known excerpt, changed <-chan struct{}, found bool) {
 	h.mutex.Lock()
 	defer h.mutex.Unlock()
 	if h.end == 0 || h.failing || h.era != era || after < h.begin {
-		return nil, 0, nil, false
+		return excerpt{}, nil, false
 	}
+	known = excerpt{asOf: max(after, h.end), currentAt: h.currentAt}
 	for _, b := range h.batches {
 		if b.asOf > after {
-			changes = append(changes, b.changes...)
+			known.changes = append(known.changes, b.changes...)
 		}
 	}
-	return changes, max(after, h.end), h.changed, true
+	return known, h.changed, true
+}
+
+// size returns the number of bytes of the changed objects.
+func size(changes []core.StoreChange) int {
+	n := 0
+	for _, c := range changes {
+		n += len(c.Object)
+	}
+	return n
 }
--- a/steer/relay/relay.go
+++ b/steer/relay/relay.go
@@ -26,16 +26,17 @@
 	// replyMargin after it.
 	MaxWait     = time.Second
 	replyMargin = 500 * time.Millisecond
+	// maxUnknown is the time since a host last knew the newest state after which it waits for a relay for replyMargin only. A relay
+	// that is paused when its own watch has been silent for 2.5 s would otherwise delay a change by more than 4 s.
+	maxUnknown = 3200 * time.Millisecond
 	// maxReplyBytes bounds the objects of a reply, which must fit into a frame of a link. A host that needs more reads the store.
 	maxReplyBytes = 768 << 10
 )
 
 // Relay answers the requests of other hosts for changes from what this host has read from the store, and asks the relays of the zone.
 type Relay struct {
-	config Config
-	// contactAt is the core.Instant of the last response of the store, or 0.
-	contactAt atomic.Int64
-	counters  counters
+	config   Config
+	counters counters
 	// failing is set from a failed request to the next successful one.
 	failing   atomic.Bool
 	histories map[string]*history
@@ -51,15 +52,18 @@
 	return r
 }
 
-// RecordContact records a response of the store.
-func (r *Relay) RecordContact() {
-	r.contactAt.Store(int64(r.config.Timer.Now()))
-}
-
-// RecordChanges records the changes that a response of the store brought. Only a relay keeps them.
-func (r *Relay) RecordChanges(kind string, after, asOf, era int64, changes []core.StoreChange) {
-	if h := r.histories[kind]; h != nil && r.isRelay() {
-		h.add(after, asOf, era, changes)
+// Record records a response of the store for a kind. Only a relay keeps its changes. Lists must be recorded as well: changes before a list are not
+// known, and hosts that wait for them have to read the store.
+func (r *Relay) Record(kind string, response *Response) {
+	h := r.histories[kind]
+	if h == nil {
+		return
+	}
+	if response.CurrentAt != 0 {
+		h.knownAt.Store(int64(response.CurrentAt))
+	}
+	if r.isRelay() {
+		h.add(response)
 	}
 }
 
@@ -77,13 +81,16 @@
 	if r.histories[kind] == nil || len(relays) == 0 || slices.Contains(relays, r.config.Self) {
 		return core.StoreChanges{}, ErrNoRelay
 	}
-	payload, err := wire.Encode(core.StoreChangesGet{After: after, Era: era, Kind: kind, WaitMs: MaxWait.Milliseconds()})
+	wait := r.wait(kind)
+	payload, err := wire.Encode(core.StoreChangesGet{After: after, Era: era, Kind: kind, WaitMs: wait.Milliseconds()})
 	if err != nil {
 		return core.StoreChanges{}, errors.Trace(err)
 	}
 	for _, address := range relays {
 		var changes core.StoreChanges
-		if changes, err = r.ask(ctx, address, payload); err == nil {
+		if changes, err = r.ask(ctx, address, payload, wait); err == nil {
+			known := r.config.Timer.Now().Add(-time.Duration(changes.AgeMs) * time.Millisecond)
+			r.histories[kind].knownAt.Store(int64(known))
 			r.counters.relayed.Add(1)
 			r.failing.Store(false)
 			return changes, nil
@@ -99,13 +106,23 @@
 	return core.StoreChanges{}, errors.WithType(err, ErrRelayFailed)
 }
 
-// ask sends a request to one relay. The time between its last contact with the store and the end of the request counts as the age of
-// its reply.
-func (r *Relay) ask(ctx context.Context, address string, payload []byte) (core.StoreChanges, error) {
+// wait returns the time for which a relay may hold a request for a kind.
+func (r *Relay) wait(kind string) time.Duration {
+	knownAt := core.Instant(r.histories[kind].knownAt.Load())
+	if knownAt == 0 {
+		return MaxWait
+	}
+	left := knownAt.Add(maxUnknown).Sub(r.config.Timer.Now()) - replyMargin
+	return max(0, min(MaxWait, left))
+}
+
+// ask sends a request to one relay and rejects a reply that is older than MaxAge. The age counts up to the sending of the reply, which
+// arrives replyMargin after the wait at the latest.
+func (r *Relay) ask(ctx context.Context, address string, payload []byte, wait time.Duration) (core.StoreChanges, error) {
 	var reply core.StoreChanges
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
-	expired := r.config.Timer.After(MaxWait + replyMargin)
+	expired := r.config.Timer.After(wait + replyMargin)
 	go func() {
 		select {
 		case <-expired:
@@ -121,7 +138,7 @@
 		return reply, errors.Annotatef(err, "decode the reply of the relay at %s", address)
 	}
 	if age := time.Duration(reply.AgeMs) * time.Millisecond; age > r.config.MaxAge {
-		return reply, errors.Errorf("the relay at %s last heard from the store %s ago", address, age)
+		return reply, errors.Errorf("the relay at %s last knew the newest state %s ago", address, age)
 	}
 	return reply, nil
 }
@@ -136,17 +153,26 @@
 	if h == nil || !r.isRelay() {
 		return nil, errors.NotFoundf("a relay of kind %q", get.Kind)
 	}
-	expired := r.config.Timer.After(min(MaxWait, time.Duration(get.WaitMs)*time.Millisecond))
+	wait := min(MaxWait, time.Duration(min(get.WaitMs, MaxWait.Milliseconds()))*time.Millisecond)
+	var expired <-chan core.Instant
 	for waiting := true; ; {
-		changes, asOf, changed, known := h.since(get.After, get.Era)
+		known, changed, found := h.since(get.After, get.Era)
+		now := r.config.Timer.Now()
+		age := now.Sub(known.currentAt)
 		switch {
-		case !known:
+		case !found:
 			return nil, errors.NotFoundf("changes of kind %q after %d", get.Kind, get.After)
-		case size(changes) > maxReplyBytes:
-			return nil, errors.Errorf("%d changes are too large for a reply", len(changes))
-		case len(changes) > 0 || !waiting:
+		case age > r.config.MaxAge:
+			return nil, errors.Errorf("the changes of kind %q are those of %s ago", get.Kind, age)
+		case size(known.changes) > maxReplyBytes:
+			return nil, errors.Errorf("%d changes are too large for a reply", len(known.changes))
+		case len(known.changes) > 0 || !waiting:
 			r.counters.served.Add(1)
-			return wire.Encode(core.StoreChanges{AgeMs: r.age().Milliseconds(), AsOf: asOf, Changes: changes})
+			return wire.Encode(core.StoreChanges{AgeMs: max(0, age).Milliseconds(), AsOf: known.asOf, Changes: known.changes})
+		}
+		if expired == nil {
+			// A request is not held until the relay is no longer trusted: the other host would learn that only at the end of its wait.
+			expired = r.config.Timer.After(min(wait, r.config.MaxAge-age+time.Millisecond))
 		}
 		select {
 		case <-ctx.Done():
@@ -163,21 +189,7 @@
 	return r.histories[kind] != nil && r.isRelay()
 }
 
-// age returns the time since the last response of the store, which is long if there was none.
-func (r *Relay) age() time.Duration {
-	return r.config.Timer.Now().Sub(core.Instant(r.contactAt.Load()))
-}
-
 // isRelay reports whether this host is a relay of its zone.
 func (r *Relay) isRelay() bool {
 	return slices.Contains(r.config.Relays(), r.config.Self)
 }
-
-// size returns the number of bytes of the changed objects.
-func size(changes []core.StoreChange) int {
-	n := 0
-	for _, c := range changes {
-		n += len(c.Object)
-	}
-	return n
-}
