Test the choice of the relays of a zone

Cause: ZoneRelays had no test. Change: a table of live, dead, stopping and removed hosts, and of zones without a host that asks.

--- a/steer/roster/roster_test.go
+++ b/steer/roster/roster_test.go
@@ -172,3 +172,34 @@
 		})
 	}
 }
+
+// TestZoneRelays guards against hosts of a zone that ask different relays, or one that is dead, stopping or of another zone, and against a
+// relay that calls the store more often although no host asks it. Host a is this host; d is the largest of its zone.
+func TestZoneRelays(t *testing.T) {
+	cases := map[string]struct {
+		change func(*roster.Roster, *fakeLinks)
+		want   []string
+	}{
+		"all live":                     {func(*roster.Roster, *fakeLinks) {}, []string{"d:72"}},
+		"largest dead":                 {func(_ *roster.Roster, l *fakeLinks) { l.alive["d:72"] = false }, []string{"a:72"}},
+		"largest is stopping":          {func(r *roster.Roster, _ *fakeLinks) { r.RecordStopping("d", true) }, []string{"a:72"}},
+		"largest removed":              {func(r *roster.Roster, _ *fakeLinks) { r.Remove("d") }, []string{"a:72"}},
+		"this host has not registered": {func(r *roster.Roster, _ *fakeLinks) { r.Remove("a") }, []string{"d:72"}},
+		"only this host":               {func(_ *roster.Roster, l *fakeLinks) { l.alive["b:72"], l.alive["d:72"] = false, false }, nil},
+		"one other host":               {func(_ *roster.Roster, l *fakeLinks) { l.alive["b:72"] = false }, []string{"d:72"}},
+		"no hosts":                     {func(r *roster.Roster, _ *fakeLinks) { r.Reset(nil) }, nil},
+	}
+	for name, k := range cases {
+		t.Run(name, func(t *testing.T) {
+			links := &fakeLinks{map[string]bool{"b:72": true, "c:72": true, "d:72": true}, map[string]bool{}}
+			m := timer.NewManual()
+			r := roster.New(host("a", "r1", "z1"), links, m, zap.NewNop())
+			hosts := []core.Host{host("a", "r1", "z1"), host("b", "r1", "z1"), host("c", "r1", "z2"), host("d", "r1", "z1")}
+			hosts[2].Capacity, hosts[3].Capacity = 9, 5
+			r.Reset(hosts)
+			m.Advance(2 * time.Second)
+			k.change(r, links)
+			assert.DeepEqual(t, r.ZoneRelays(), k.want)
+		})
+	}
+}
