--- a/steer/relay/sim_test.go
+++ b/steer/relay/sim_test.go
@@ -136,5 +136,5 @@
 		}
 	}
 	<-ctx.Done()
-	return nil, errors.Annotate(core.ErrNoReply, "no reply")
+	return nil, errors.Annotate(errors.WithType(ctx.Err(), core.ErrNoReply), "no reply")
 }
