--- a/core/event/request.go
+++ b/core/event/request.go
@@ -19,10 +19,21 @@
 	RequestKeyRefused   = Info{621, zapcore.InfoLevel, "request refused by its API key", "The route requires a key and the request has none that is known, or its customer may not run where the route does; nothing was run. The key is not logged."}
 	RequestUnproven     = Info{622, zapcore.InfoLevel, "request refused without proof of its API key", "This host could not prove that its settings are recent, or the key was withdrawn before an attempt was sent; this attempt was not run."}
 	RequestOverQuota    = Info{623, zapcore.InfoLevel, "request refused by the quota of its customer", "The customer has used up its quota or the share of it that this host has; nothing was run."}
+	ServiceScarce       = Info{640, zapcore.WarnLevel, "service has too little room", "Targets had no room for requests of the service; from now on less urgent requests and customers above their fair share are refused first."}
+	ServiceRoomy        = Info{641, zapcore.InfoLevel, "service has room for all requests again", "Requests of the service are no longer refused by rank or customer."}
+	CustomerExcess      = Info{642, zapcore.InfoLevel, "customer exceeds its fair share", "The service has too little room and the customer sends more than its fair share, so that some of its requests are refused before those of others. Logged once for each customer and time of too little room."}
+	CustomersFull       = Info{643, zapcore.WarnLevel, "more customers than can be told apart", "Further customers of the host share one fair share until some of the others have sent nothing for two minutes."}
 	LinesDropped        = Info{613, zapcore.WarnLevel, "log lines dropped", "More lines were logged than the limit permits or than the reader of the log consumed; the field counts the dropped lines since the start."}
+	QuotaCoordinating   = Info{625, zapcore.InfoLevel, "coordinator of quotas elected", "This process divides the quotas of customers from now on. Until the wait has passed, it grants only what hosts report as held."}
+	QuotaStepDown       = Info{626, zapcore.InfoLevel, "coordinator of quotas stepped down", "Another process is elected, or the store was restored from an older copy; hosts keep their shares until their leases end."}
+	QuotaUnreachable    = Info{627, zapcore.WarnLevel, "coordinator of quotas unreachable", "The host got no shares; it uses those that it has until their leases end, and then a small part that needs no share."}
+	QuotaRefused        = Info{628, zapcore.InfoLevel, "request over the quota of its customer", "The share of this host is used up; the fields are the share, its age and the election that granted it."}
+	QuotaShareChanged   = Info{629, zapcore.DebugLevel, "share of a quota changed", "The rate of the share of this host has changed by more than a quarter."}
 )
 
 var requestTable = []Info{
 	RequestTruncated, RequestTimedOut, RequestRefused, RequestLeaseEnded, RequestNotRecorded, RequestBroken, HandlerPanicked, CallerBroken,
 	RequestPlaced, RequestRejected, RequestCompleted, LinesDropped, SettingsPartInvalid, RequestKeyRefused, RequestUnproven, RequestOverQuota,
+	QuotaCoordinating, QuotaStepDown, QuotaUnreachable, QuotaRefused, QuotaShareChanged,
+	ServiceScarce, ServiceRoomy, CustomerExcess, CustomersFull,
 }
--- a/entry/place/target.go
+++ b/entry/place/target.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"ebonyrouter.dev/core"
+	"ebonyrouter.dev/entry/pause"
 )
 
 const (
@@ -46,6 +47,9 @@
 	slowdown     float64
 	slowdownTime core.Instant
 	avoidUntil   core.Instant
+	workTime     workTime
+	// pause is what the target has asked for. Unlike avoidUntil, a success does not end it.
+	pause pause.Target
 }
 
 // busy estimates the number of requests that are running or queued at the target. A fresh load report of the target takes
@@ -72,6 +76,7 @@
 func (t *target) recordLoad(now core.Instant, load core.TargetLoad) {
 	t.otherRequests = max(0, load.Busy()-t.inFlight)
 	t.loadTime = now
+	t.workTime.record(now, load.TimePercent)
 }
 
 // recordSuccess ends the backoff and adds the ratio of a response's service time to the mean of its route to the slowdown.
--- a/entry/process.go
+++ b/entry/process.go
@@ -28,9 +28,12 @@
 	"ebonyrouter.dev/entry/lease"
 	"ebonyrouter.dev/entry/limit"
 	"ebonyrouter.dev/entry/lookup"
+	"ebonyrouter.dev/entry/memory"
 	"ebonyrouter.dev/entry/proxy"
+	"ebonyrouter.dev/entry/quota"
 	"ebonyrouter.dev/entry/retry"
 	"ebonyrouter.dev/entry/route"
+	"ebonyrouter.dev/steer/share"
 )
 
 const (
@@ -53,6 +56,7 @@
 	gate           *gate
 	grantor        *lease.Grantor
 	holder         *lease.Holder
+	limits         memory.Limits
 	hosts          *agent.Hosts
 	limiter        *limit.Limiter
 	links          *links.Manager
@@ -60,17 +64,21 @@
 	log            *zap.Logger
 	loader         *lookup.Loader
 	lookup         *lookup.Ranker
+	memory         *memory.Reporter
 	messages       *pubsub.Messenger
 	meter          *meter.Meter
 	options        options
 	proxy          *proxy.Proxy
-	relayServer    *http.Server
-	relayListener  net.Listener
-	router         *route.Router
-	settings       *config.Holder
-	state          atomic.Value
-	timer          core.Timer
-	dedupForwarder *dedup.Forwarder
+	// quotas is the value for proxy.Config.Quotas; without customers with a quota it does nothing.
+	quotas           *quota.Limiter
+	quotaCoordinator *share.Coordinator
+	relayServer      *http.Server
+	relayListener    net.Listener
+	router           *route.Router
+	settings         *config.Holder
+	state            atomic.Value
+	timer            core.Timer
+	dedupForwarder   *dedup.Forwarder
 }
 
 // newProcess creates the components of a process and binds its addresses; serve runs it.
@@ -82,9 +90,10 @@
 	p := &process{hosts: &agent.Hosts{}, log: log, meter: meter.New(), options: o, settings: config.NewHolder(), timer: clock}
 	p.state.Store(core.HostStarting)
 	p.settings.Subscribe(p.deadlines.add)
+	p.newMemory()
 	p.links, err = links.New(clock, log, links.WithHandlerLimit(dedup.MaxLinkRequests),
 		links.WithAdvertise(*o.Link),
-		links.WithListen(o.Listen(*o.Link)), links.WithSource(o.Source()), links.WithToken(*o.Token))
+		links.WithMaxConns(p.limits.Links), links.WithListen(o.Listen(*o.Link)), links.WithSource(o.Source()), links.WithToken(*o.Token))
 	if err != nil {
 		return nil, errors.Trace(err)
 	}
@@ -158,6 +167,7 @@
 		Region: *p.options.Region, Settings: p.settings, Timer: p.timer,
 	})
 	p.exportDedupMetrics()
+	p.newQuotas(client)
 	p.proxy = proxy.New(proxy.Config{
 		Admitter: p.limiter,
 		Budget:   retry.New(p.settings, p.timer, *p.options.Zone),
@@ -165,6 +175,7 @@
 		Feedback: p.router,
 		Load:     p.limiter,
 		Log:      p.log,
+		Memory:   p.memory.Budget,
 		Observer: meter.NewObserver(p.meter),
 		Router:   p.router,
 		Self:     p.registration(),
@@ -176,10 +187,28 @@
 	p.gate = &gate{next: p.callerHandler()}
 }
 
+// quotaBounds bounds the requests of a customer over its quota: a tenth and 20 requests in any 5 s.
+var quotaBounds = core.QuotaBounds{Over: 0.1, Slack: 20, Window: 5 * time.Second}
+
+// newQuotas creates the limiter of customers' quotas and the coordinator that divides them.
+func (p *process) newQuotas(client core.Store) {
+	self := p.registration()
+	elector := share.NewElector(self, share.NewObjectStore(client), quotaBounds, false, p.timer, p.log)
+	p.quotaCoordinator = share.NewCoordinator(elector, p.settings)
+	p.links.HandleRequest(core.TopicQuota, p.quotaCoordinator.HandleRequest)
+	p.quotas = quota.NewLimiter(quota.Config{
+		Bounds: quotaBounds, Coordinator: p.quotaCoordinator, Links: p.sharedLinks.User(), Log: p.log, Self: self, Timer: p.timer,
+		OnRefuse: func(customer string) { p.meter.CountCustomer("ebony_quota_refused_total", customer) },
+		// The order of all hosts is not known here, so that no request is served without a share.
+		Rank: func() (int, int) { return -1, 1 },
+	})
+}
+
 // newServers binds all addresses, so that a port in use is reported before any task starts.
 func (p *process) newServers() error {
 	var err error
 	p.admin, err = admin.New(p.log, p.options.Listen(*p.options.Admin), p.registerRoutes,
+		admin.WithListener(func(l net.Listener) net.Listener { return p.guard(l, "admin", p.limits.Other) }, memory.TrackState),
 		admin.WithMetrics(p.meter.Handler()), admin.WithReady(p.ready), admin.WithToken(*p.options.Token))
 	if err != nil {
 		return errors.Trace(err)
@@ -192,10 +221,13 @@
 	if err != nil {
 		return errors.Trace(err)
 	}
-	p.callerServer = &http.Server{Handler: p.gate, ReadHeaderTimeout: readHeaderTimeout}
+	p.callerListener = p.guard(p.callerListener, "callers", p.limits.Callers)
+	p.relayListener = p.guard(p.relayListener, "relay", p.limits.Links)
+	p.memory.Export(p.meter)
+	p.callerServer = &http.Server{ConnState: memory.TrackState, Handler: p.gate, ReadHeaderTimeout: readHeaderTimeout}
 	// Peers keep idle connections for 20 s. If this server closed them earlier, it would race with the next request.
 	p.relayServer = &http.Server{
-		Handler: p.proxy.RelayHandler(), IdleTimeout: relayIdleTimeout, ReadHeaderTimeout: readHeaderTimeout,
+		ConnState: memory.TrackState, Handler: p.proxy.RelayHandler(), IdleTimeout: relayIdleTimeout, ReadHeaderTimeout: readHeaderTimeout,
 	}
 	return nil
 }
@@ -249,11 +281,14 @@
 	failures := make(chan error, fallibleTasks)
 	var group sync.WaitGroup
 	group.Go(func() { p.agent.Run(ctx) })
+	group.Go(func() { p.memory.Run(ctx) })
 	group.Go(func() { p.holder.Run(ctx) })
 	group.Go(func() { p.grantor.Run(ctx) })
 	group.Go(func() { p.watchReady(ctx) })
 	group.Go(func() { p.lookup.Run(ctx, p.timer) })
 	group.Go(func() { p.loader.Run(ctx, p.timer) })
+	group.Go(func() { p.quotas.Run(ctx) })
+	group.Go(func() { p.quotaCoordinator.Run(ctx) })
 	group.Go(func() { failures <- p.messages.Run(ctx) })
 	group.Go(func() { failures <- p.admin.Run(ctx) })
 	group.Go(func() { failures <- serveHTTP(p.callerServer, p.callerListener) })
