--- a/steer/share/book.go
+++ b/steer/share/book.go
@@ -25,6 +25,8 @@
 	// of the same host.
 	inherited  map[holderKey]bool
 	replacedAt map[holderKey]core.Instant
+	// replaced reports whether a process is known to have ended in another way; it may be nil.
+	replaced func(holderKey) bool
 }
 
 // replacedTerm is the time between two asks of a process that shows that it runs. A single ask may have waited in a buffer since before
@@ -91,6 +93,10 @@
 		return
 	}
 	for key := range b.inherited {
+		if b.replaced != nil && b.replaced(key) {
+			delete(b.inherited, key)
+			continue
+		}
 		if key.host != asking.host || key.incarnation == asking.incarnation {
 			continue
 		}
--- a/steer/share/elector.go
+++ b/steer/share/elector.go
@@ -53,16 +53,30 @@
 	pending  map[holderKey]bool
 	// inherited holds the holders of earlier coordinators during a takeover.
 	inherited map[holderKey]bool
+	replaced  func(host, incarnation string, after, era int64) bool
 	// led means that this process has granted shares before.
 	led bool
 }
 
 // NewElector returns an elector for a process with the given host, incarnation and link address.
-func NewElector(self core.Host, store core.QuotaStore, bounds core.QuotaBounds, firstStart bool, timer core.Timer, log *zap.Logger) *Elector {
-	return &Elector{
+func NewElector(self core.Host, store core.QuotaStore, bounds core.QuotaBounds, firstStart bool, timer core.Timer, log *zap.Logger, options ...Option) *Elector {
+	e := &Elector{
 		bounds: bounds, calls: make(chan struct{}, 1), firstStart: firstStart, log: log, pending: map[holderKey]bool{}, store: store, timer: timer,
 		self: core.QuotaRecord{Host: self.Host, Incarnation: self.Incarnation, LinkAddress: self.LinkAddress},
 	}
+	for _, apply := range options {
+		apply(e)
+	}
+	return e
+}
+
+// Option sets an option of an Elector.
+type Option func(*Elector)
+
+// WithReplaced sets a function that reports whether another process than the given one of a host was registered after a revision of an
+// era of the store, so that the given one has ended.
+func WithReplaced(replaced func(host, incarnation string, after, era int64) bool) Option {
+	return func(e *Elector) { e.replaced = replaced }
 }
 
 // Find reads who coordinates. It takes over if there is no record or its lease has ended.
@@ -262,6 +276,9 @@
 	} else {
 		e.book = NewBook(e.bounds, openAt)
 		e.book.inherited = e.inherited
+		if e.replaced != nil {
+			e.book.replaced = func(key holderKey) bool { return e.replaced(key.host, key.incarnation, read.Revision, read.Era) }
+		}
 	}
 	e.inherited = nil
 	e.led = true
--- a/steer/share/share_test.go
+++ b/steer/share/share_test.go
@@ -445,3 +445,25 @@
 	assert.Equal(t, s.Rate+s.Tokens, 0.0)
 	assert.Equal(t, f.store.current.Record.Holders, "/,h/i1")
 }
+
+// TestRegisteredHolders guards against a successor that waits for the leases of processes whose hosts have restarted and ask for no shares.
+func TestRegisteredHolders(t *testing.T) {
+	for name, replaced := range map[string]bool{"hosts have restarted": true, "one runs on": false} {
+		t.Run(name, func(t *testing.T) {
+			f := newFixture(true)
+			find(t, f.a)
+			granted(t, f.ask(t, f.a, "h1", core.QuotaShare{}, 1))
+			granted(t, f.ask(t, f.a, "h2", core.QuotaShare{}, 1))
+			revision := f.store.current.Revision
+			self := core.Host{Host: "a", Incarnation: "i2", LinkAddress: "10.0.0.1:7"}
+			registered := func(host, incarnation string, after, era int64) bool {
+				return after == revision && era == 1 && incarnation == "i1" && (host == "h1" || replaced)
+			}
+			successor := share.NewCoordinator(share.NewElector(self, f.store, bounds, false, f.clock, zap.NewNop(), share.WithReplaced(registered)), f)
+			f.ask(t, successor, "h3", core.QuotaShare{}, 1)
+			f.clock.Advance(500 * time.Millisecond)
+			s := granted(t, f.ask(t, successor, "h3", core.QuotaShare{}, 1))
+			assert.Equal(t, s.Rate+s.Tokens > 0, replaced, "%+v", s)
+		})
+	}
+}
