--- a/entry/proxy/access_test.go
+++ b/entry/proxy/access_test.go
@@ -37,6 +37,8 @@
 
 func newKeyedFixture(targets ...string) *keyedFixture {
 	fx := &keyedFixture{fixture: newFixture(targets...), idempotent: true}
+	// No test of keys is about slow upstreams; the short attempt timeout of the fixture ends attempts on a busy machine.
+	fx.policy.TryTimeoutMs = 2000
 	rank := int64(2)
 	fx.set(1, true, core.CustomerSettings{HomeRegions: []string{"r1"}, KeyDigests: []string{core.DigestKey("k1").String()}, Name: "a", Priority: &rank})
 	return fx
