--- a/steer/roster/relays.go
+++ b/steer/roster/relays.go
@@ -1,7 +1,7 @@
 package roster
 
-// maxRelays is the number of hosts of an availability zone that watch the store for the others. With two, a zone keeps a relay while
-// the other one restarts.
+// maxRelays is the number of hosts of an availability zone that watch the store for the others. Hosts would ask a second one only after
+// the first has not answered in time, which is too late for the bounds on changes; they read the store themselves instead.
 const maxRelays = 1
 
 // ZoneRelays returns the link addresses of the live hosts of this host's availability zone that watch the store for the others: those with
