--- a/review/standin2/main.go
+++ b/review/standin2/main.go
@@ -16,7 +16,7 @@
 
 // cases maps the name of each case to its function, which reports whether the rule was broken.
 var cases = map[string]func(w *world) (broken bool, err error){
-	"lost-watch": lostWatch, "crashed-upload": crashedUpload, "held-pipeline": heldPipeline, "encoded-slash": encodedSlash, "foreign-header": foreignHeader,
+	"lost-watch": lostWatch, "endless-body": endless, "crashed-upload": crashedUpload, "held-pipeline": heldPipeline, "encoded-slash": encodedSlash,
 }
 
 func main() {
--- a/review/standin2/world.go
+++ b/review/standin2/world.go
@@ -281,10 +281,12 @@
 	born    int64
 	seq     int64
 	state   string
-	mutex   sync.Mutex
-	runs    []run
-	stop    func()
-	beats   context.CancelFunc
+	// reported is the state of the entry in the store.
+	reported string
+	mutex    sync.Mutex
+	runs     []run
+	stop     func()
+	beats    context.CancelFunc
 	// handle, if set, answers instead of the usual answer.
 	handle func(s *server, w http.ResponseWriter, r *http.Request)
 }
@@ -322,6 +324,12 @@
 func (s *server) report() time.Time {
 	s.mutex.Lock()
 	s.seq++
+	if s.reported == s.state {
+		// The entry changes only when more than seq changes.
+		s.mutex.Unlock()
+		return time.Now()
+	}
+	s.reported = s.state
 	entry := map[string]any{
 		"address": s.address, "born": s.born,
 		"info":   map[string]any{"service": s.service, "version": "v1", "zone": s.zone, "slots": s.slots},
