--- a/core/event/document.go
+++ b/core/event/document.go
@@ -9,6 +9,7 @@
 	DocumentPullFailed = Info{1102, zapcore.WarnLevel, "document pull failed", "An announced document could not be fetched; the periodic synchronization retries."}
 	StoreUnavailable   = Info{1103, zapcore.WarnLevel, "store unavailable", "Reads from the store fail; the process continues with the documents that it has."}
 	StoreAvailable     = Info{1104, zapcore.InfoLevel, "store available", "Reads from the store succeed again."}
+	StoreResponseLost  = Info{1105, zapcore.WarnLevel, "response of the store lost", "Objects of the kind have changed after the given revision, and the watch that waited for it got no response; it is repeated at once."}
 )
 
-var documentTable = []Info{DocumentAccepted, DocumentInvalid, DocumentPullFailed, StoreUnavailable, StoreAvailable}
+var documentTable = []Info{DocumentAccepted, DocumentInvalid, DocumentPullFailed, StoreUnavailable, StoreAvailable, StoreResponseLost}
