--- a/steer/audit/auditor.go
+++ b/steer/audit/auditor.go
@@ -14,15 +14,8 @@
 // ErrResponseLost means that the store has changed in a way that a call waits for, and that the response to the call is overdue.
 const ErrResponseLost = errors.ConstError("the response to a waiting call is overdue")
 
-const (
-	// responseDelay is the time by which the responses that show the same revision may be apart: the pause of a follower during a
-	// burst of changes, and the time of a slow response.
-	responseDelay = 700 * time.Millisecond
-	// checkInterval is the time between two checks of a call. A host must be up to date 4 s after the store has lost a response.
-	checkInterval = 3200 * time.Millisecond
-	// failureDelay is the additional time after a failed check.
-	failureDelay = 2 * time.Second
-)
+// failureDelay is the additional time after a failed check.
+const failureDelay = 2 * time.Second
 
 // Auditor compares what waiting calls have returned with the revisions that all responses of the store show. A revision that is not
 // known to belong to an object of another kind is checked. It is safe for concurrent use.
@@ -38,6 +31,16 @@
 	After int64
 	Era   int64
 	Kind  string
+	// Role returns the role of the host; nil means Alone.
+	Role func() Role
+}
+
+// role returns the role of the host.
+func (c Call) role() Role {
+	if c.Role == nil {
+		return Alone
+	}
+	return c.Role()
 }
 
 // New returns an Auditor that makes its checks with the given checker.
@@ -50,6 +53,16 @@
 	a.revisions.add(era, asOf, kind, revisions)
 }
 
+// ObserveUnchanged records what another host has checked in an era.
+func (a *Auditor) ObserveUnchanged(era int64, checked []core.UnchangedKind) {
+	for _, c := range checked {
+		a.revisions.addUnchanged(era, c)
+	}
+}
+
+// Unchanged returns what checks have shown of each kind in an era.
+func (a *Auditor) Unchanged(era int64) []core.UnchangedKind { return a.revisions.allUnchanged(era) }
+
 // Await returns ErrResponseLost if a change is known for which the call should have returned, or the error of a check that shows that
 // the call must not be repeated from its revision. It returns nil when ctx, which must end with the call, is done. No object of the kind
 // has changed after the revision of the call up to complete.
@@ -66,7 +79,7 @@
 				continue
 			}
 		}
-		if !pause(ctx, timer, max(responseDelay, checked.Add(checkInterval).Sub(timer.Now()))) {
+		if !pause(ctx, timer, call.role().delay(timer.Now().Sub(checked))) {
 			return complete, nil
 		}
 		// The responses that arrived meanwhile may explain the revisions that were known then, or a part of them.
@@ -79,6 +92,7 @@
 			if complete = max(complete, asOf); complete >= newest {
 				checked = timer.Now()
 			}
+			a.revisions.addUnchanged(call.Era, core.UnchangedKind{Kind: call.Kind, After: call.After, AsOf: complete})
 		case !errors.Is(err, core.ErrUnavailable):
 			return complete, err
 		case !pause(ctx, timer, failureDelay):
--- a/steer/audit/ledger.go
+++ b/steer/audit/ledger.go
@@ -1,6 +1,12 @@
 package audit
 
-import "sync"
+import (
+	"maps"
+	"slices"
+	"sync"
+
+	"ebonyrouter.dev/core"
+)
 
 // maxRevisions is the number of newest revisions whose kind a ledger knows.
 const maxRevisions = 4096
@@ -14,10 +20,12 @@
 	kinds   map[int64]string
 	mutex   sync.Mutex
 	newest  int64
+	// unchanged holds the newest range of revisions that was checked for each kind.
+	unchanged map[string]core.UnchangedKind
 }
 
 func newLedger() *ledger {
-	return &ledger{changed: make(chan struct{}), kinds: map[int64]string{}}
+	return &ledger{changed: make(chan struct{}), kinds: map[int64]string{}, unchanged: map[string]core.UnchangedKind{}}
 }
 
 // add records that a response of an era has shown the store at revision asOf, and objects of a kind with the given revisions.
@@ -30,6 +38,7 @@
 	if era > l.era {
 		l.era, l.newest = era, 0
 		clear(l.kinds)
+		clear(l.unchanged)
 	}
 	for _, r := range revisions {
 		l.kinds[r] = kind
@@ -56,10 +65,34 @@
 	if era != l.era {
 		return complete, complete, l.changed
 	}
+	checked := l.unchanged[kind]
 	for unchanged = complete; unchanged < l.newest; unchanged++ {
+		if checked.After <= unchanged && unchanged < checked.AsOf {
+			unchanged = checked.AsOf - 1
+			continue
+		}
 		if other, found := l.kinds[unchanged+1]; !found || other == kind {
 			break
 		}
 	}
 	return l.newest, unchanged, l.changed
 }
+
+// addUnchanged records what a check in an era has shown.
+func (l *ledger) addUnchanged(era int64, checked core.UnchangedKind) {
+	l.mutex.Lock()
+	defer l.mutex.Unlock()
+	if era == l.era && checked.AsOf > l.unchanged[checked.Kind].AsOf {
+		l.unchanged[checked.Kind] = checked
+	}
+}
+
+// allUnchanged returns what checks in an era have shown.
+func (l *ledger) allUnchanged(era int64) []core.UnchangedKind {
+	l.mutex.Lock()
+	defer l.mutex.Unlock()
+	if era != l.era {
+		return nil
+	}
+	return slices.Collect(maps.Values(l.unchanged))
+}
--- a/steer/relay/config.go
+++ b/steer/relay/config.go
@@ -18,6 +18,8 @@
 	// Self is the link address of this host.
 	Self  string
 	Timer core.Timer
+	// Unchanged returns what this host has checked of the kinds in an era of the store, for the hosts that ask it; it may be nil.
+	Unchanged func(era int64) []core.UnchangedKind
 	// MaxAge is the time up to which a relay is trusted since it last knew the newest state of a kind. Responses for other kinds do
 	// not count: they come also while the connection of one watch is silent.
 	MaxAge time.Duration
--- a/steer/relay/relay.go
+++ b/steer/relay/relay.go
@@ -12,6 +12,7 @@
 	"ebonyrouter.dev/core"
 	"ebonyrouter.dev/core/event"
 	"ebonyrouter.dev/core/wire"
+	"ebonyrouter.dev/steer/audit"
 )
 
 const (
@@ -168,7 +169,11 @@
 			return nil, errors.Errorf("%d changes are too large for a reply", len(known.changes))
 		case len(known.changes) > 0 || !waiting:
 			r.counters.served.Add(1)
-			return wire.Encode(core.StoreChanges{AgeMs: max(0, age).Milliseconds(), AsOf: known.asOf, Changes: known.changes})
+			reply := core.StoreChanges{AgeMs: max(0, age).Milliseconds(), AsOf: known.asOf, Changes: known.changes}
+			if r.config.Unchanged != nil {
+				reply.Unchanged = r.config.Unchanged(get.Era)
+			}
+			return wire.Encode(reply)
 		}
 		if expired == nil {
 			// A request is not held until the relay is no longer trusted: the other host would learn that only at the end of its wait.
@@ -189,6 +194,19 @@
 	return r.histories[kind] != nil && r.isRelay()
 }
 
+// Role returns what this host is for the relays of its zone. A host whose relay does not answer is alone.
+func (r *Relay) Role() audit.Role {
+	relays := r.config.Relays()
+	switch {
+	case slices.Contains(relays, r.config.Self):
+		return audit.Relay
+	case len(relays) == 0 || r.failing.Load():
+		return audit.Alone
+	default:
+		return audit.Member
+	}
+}
+
 // isRelay reports whether this host is a relay of its zone.
 func (r *Relay) isRelay() bool {
 	return slices.Contains(r.config.Relays(), r.config.Self)
--- a/steer/relay/relay_test.go
+++ b/steer/relay/relay_test.go
@@ -72,6 +72,8 @@
 			}
 			assert.DeepEqual(t, objects, c.want)
 			assert.Equal(t, got.AsOf, c.asOf)
+			assert.Equal(t, len(got.Unchanged), 1)
+			assert.Equal(t, got.Unchanged[0].AsOf, c.era+1)
 		})
 	}
 }
--- a/steer/relay/sim_test.go
+++ b/steer/relay/sim_test.go
@@ -54,6 +54,9 @@
 func (z *zone) start(name string) {
 	z.hosts[name] = relay.New(relay.Config{
 		Links: simLinks{nil, name, z}, Log: zap.NewNop(), MaxAge: maxAge, Self: name, Timer: z.clock,
+		Unchanged: func(era int64) []core.UnchangedKind {
+			return []core.UnchangedKind{{Kind: "other", After: 1, AsOf: era + 1}}
+		},
 		Relays: func() []string { z.mutex.Lock(); defer z.mutex.Unlock(); return slices.Clone(z.relays[name]) },
 	}, kind)
 }
