--- a/entry/proxy/exchange.go
+++ b/entry/proxy/exchange.go
@@ -68,8 +68,11 @@
 		// An upstream may respond and close the connection before it has read the whole request.
 		err = p.awaitHead(req, result, out)
 	}
-	if err != nil {
+	switch {
+	case err != nil:
 		p.failExchange(ctx, req, result, err)
+	case endsWithConnection(result.response):
+		result.response.Body = &closedBody{result.response.Body, req.deadline, result}
 	}
 	return result
 }
@@ -119,17 +122,18 @@
 	switch {
 	case callerGone:
 		return mayHaveRun(codes.CallerGone, statusCallerClosedRequest, "the caller closed its connection")
+	case !u.ended():
 	case u != nil && req.bodyLimit.remaining < 0:
 		return mayHaveRun(codes.BodyTooLarge, http.StatusRequestEntityTooLarge, "request body exceeds request_body_bytes")
 	case result.conn.leaseExpired:
 		return mayHaveRun(codes.LeaseExpired, http.StatusBadGateway, "the lease ended before the request was written")
 	case u != nil && u.err != nil && !result.conn.writeFailed:
 		return mayHaveRun(codes.BadRequest, http.StatusBadRequest, "request body could not be read: "+u.err.Error())
-	case isTimeout(err):
+	}
+	if isTimeout(err) {
 		return mayHaveRun(codes.UpstreamTimeout, http.StatusGatewayTimeout, "the upstream did not answer in time")
-	default:
-		return mayHaveRun(codes.UpstreamBroken, http.StatusBadGateway, "the connection failed before the response: "+err.Error())
 	}
+	return mayHaveRun(codes.UpstreamBroken, http.StatusBadGateway, "the connection failed before the response: "+err.Error())
 }
 
 func isTimeout(err error) bool {
--- a/entry/proxy/upload.go
+++ b/entry/proxy/upload.go
@@ -3,6 +3,8 @@
 import (
 	"net/http"
 	"time"
+
+	"ebonyrouter.dev/core"
 )
 
 // upload writes a streamed request in its own goroutine while the response is awaited. A nil upload means that the
@@ -26,28 +28,44 @@
 	return u
 }
 
-// complete reports whether the whole body has been read and written.
-func (u *upload) complete() bool {
+// ended reports whether the upload has ended, so that its error and what it has recorded in its connection may be read.
+func (u *upload) ended() bool {
 	if u == nil {
-		return false
+		return true
 	}
 	select {
 	case <-u.finished:
-		return u.err == nil
+		return true
 	default:
 		return false
 	}
 }
 
+// awaitEnd waits for the end of the upload and reports whether it has ended.
+func (u *upload) awaitEnd(timer core.Timer, timeout time.Duration) bool {
+	if u.ended() {
+		return true
+	}
+	select {
+	case <-u.finished:
+		return true
+	case <-timer.After(timeout):
+		return false
+	}
+}
+
+// complete reports whether the whole body has been read and written.
+func (u *upload) complete() bool {
+	return u != nil && u.ended() && u.err == nil
+}
+
 // finish stops the upload if it is still running, waits for it and reports whether it was complete.
 func (u *upload) finish(c *conn) bool {
 	if u == nil {
 		return true
 	}
-	select {
-	case <-u.finished:
+	if u.ended() {
 		return u.err == nil
-	default:
 	}
 	_ = c.socket.Close()
 	_ = http.NewResponseController(u.writer).SetReadDeadline(time.Unix(1, 0))
