--- a/entry/proxy/attempt.go
+++ b/entry/proxy/attempt.go
@@ -51,12 +51,16 @@
 }
 
 // connect returns a connection to address from its pool. A request that must not be sent twice gets a connection that
-// was idle for IdleSuspectMs at most, because one that was idle for longer may have failed unnoticed.
+// was idle for IdleSuspectMs at most, because one that was idle for longer may have failed unnoticed. One without an ID gets a new connection,
+// because nothing else shows that a response belongs to it.
 func (p *Proxy) connect(ctx context.Context, req *request, address string, limit int) (*conn, error) {
 	idleLimit := maxIdleTime
 	if !req.idempotent() || req.streamed {
 		idleLimit = min(maxIdleTime, time.Duration(req.policy.IdleSuspectMs)*time.Millisecond)
 	}
+	if p.Dialect != nil && req.callerRequestID == "" && !req.relayed() {
+		idleLimit = -1
+	}
 	return p.pools.of(address, limit).get(ctx, idleLimit, req.deadline)
 }
 
--- a/entry/proxy/dialect.go
+++ b/entry/proxy/dialect.go
@@ -18,8 +18,12 @@
 	maxSkippedBytes = 256 << 10
 )
 
-// errOtherRequest means that no response on the connection belongs to the request.
-var errOtherRequest = errors.New("the response belongs to another request")
+var (
+	// errOtherRequest means that no response on the connection belongs to the request.
+	errOtherRequest = errors.New("the response belongs to another request")
+	// errUnknownOwner means that a response may belong to an earlier request of the connection.
+	errUnknownOwner = errors.New("the response may belong to an earlier request")
+)
 
 // hostName returns the host name of a request in lower case, without the port.
 func hostName(in *http.Request) string {
@@ -57,12 +61,15 @@
 func (p *Proxy) readMatchingHead(req *request, c *conn, out *http.Request) (*http.Response, []*http.Response, error) {
 	for range maxHeadReads {
 		response, informational, err := c.readHead(out)
-		if err != nil || p.Dialect == nil || !c.toTarget {
-			return response, informational, err
+		if err != nil {
+			return nil, nil, err
 		}
-		id := p.Dialect.ReadResponse(response.StatusCode, response.Header).RequestID
-		if id == "" || id == req.callerRequestID {
+		switch p.ownerOf(req, c, response) {
+		case ownResponse:
 			return response, informational, nil
+		case unknownResponse:
+			return nil, nil, errUnknownOwner
+		case otherResponse:
 		}
 		if response.ContentLength < 0 && len(response.TransferEncoding) == 0 {
 			return nil, nil, errOtherRequest
--- a/testup/stand/target.go
+++ b/testup/stand/target.go
@@ -201,6 +201,7 @@
 func (t *Target) serve(w http.ResponseWriter, r *http.Request) {
 	if t.rejects() {
 		w.Header().Set(core.HeaderRan, string(core.RanNo))
+		w.Header().Set(core.HeaderRequestID, r.Header.Get(core.HeaderRequestID))
 		w.Header().Set("Retry-After", "1")
 		http.Error(w, "shedding load", http.StatusServiceUnavailable)
 		return
