--- a/core/intake/conn.go
+++ b/core/intake/conn.go
@@ -270,6 +270,17 @@
 	_ = c.socket.Close()
 }
 
+// resetOnClose makes the close of the connection, also by the end of the process, a reset or an ordinary end.
+func (c *conn) resetOnClose(reset bool) {
+	seconds := -1
+	if reset {
+		seconds = 0
+	}
+	if lingering, ok := c.socket.(interface{ SetLinger(sec int) error }); ok {
+		_ = lingering.SetLinger(seconds)
+	}
+}
+
 // closeWrite closes the connection for writing after the last response. Input is still read, for discardTime at most,
 // until the caller closes its side.
 func (c *conn) closeWrite() {
--- a/core/intake/exchange.go
+++ b/core/intake/exchange.go
@@ -234,6 +234,9 @@
 	case e.writeErr != nil || incomplete:
 		e.conn.abort("the response could not be completed", e.writeErr)
 	case last:
+		if e.endsWithClose() {
+			e.conn.resetOnClose(false)
+		}
 		e.conn.closeWrite()
 		// Requests behind the last response are given up.
 		e.conn.cancel()
@@ -292,6 +295,10 @@
 		if !e.finishing {
 			e.setConnection(e.conn.announceClose(e.wantsClose(), e.endsWithClose()))
 		}
+		if !e.finishing && e.endsWithClose() {
+			// An ordinary end before the response is complete would look like its end.
+			e.conn.resetOnClose(true)
+		}
 		e.headWritten = true
 		e.chunked = e.contentLength < 0 && e.hasBody() && e.request.ProtoAtLeast(1, 1)
 		e.writeHead(e.status)
--- a/core/memory/conn.go
+++ b/core/memory/conn.go
@@ -98,6 +98,14 @@
 	return n, err
 }
 
+// SetLinger sets for how many seconds Close keeps unsent data, if the connection can; 0 makes it a reset, and -1 is the default.
+func (c *Conn) SetLinger(seconds int) error {
+	if lingering, ok := c.Conn.(interface{ SetLinger(sec int) error }); ok {
+		return lingering.SetLinger(seconds)
+	}
+	return nil
+}
+
 // Stalled reports whether the client makes the process wait within a request, for so long that the connection may give way to another one.
 func (c *Conn) Stalled() bool {
 	return c.stalled(time.Now()) >= evictStalledAfter
