--- a/entry/proxy/upload.go
+++ b/entry/proxy/upload.go
@@ -12,7 +12,9 @@
 type upload struct {
 	err      error
 	finished chan struct{}
-	writer   http.ResponseWriter
+	// stopped means that this host has ended the upload, so that its error is not the caller's.
+	stopped bool
+	writer  http.ResponseWriter
 }
 
 func startUpload(c *conn, out *http.Request, w http.ResponseWriter) *upload {
@@ -67,6 +69,7 @@
 	if u.ended() {
 		return u.err == nil
 	}
+	u.stopped = true
 	_ = c.socket.Close()
 	_ = http.NewResponseController(u.writer).SetReadDeadline(time.Unix(1, 0))
 	<-u.finished
--- a/entry/proxy/whole_test.go
+++ b/entry/proxy/whole_test.go
@@ -74,10 +74,10 @@
 }
 
 // shortRoute is a routedFixture whose requests are given up soon.
-type shortRoute struct{ *fixture }
+type shortRoute struct{ routedFixture }
 
 func (s shortRoute) Current() *core.Snapshot {
-	snapshot := routedFixture{s.fixture, false}.Current()
+	snapshot := s.routedFixture.Current()
 	found, _ := snapshot.Routes.Find("127.0.0.1", "/board/1")
 	route := *found
 	route.TimeoutMs = 300
@@ -115,7 +115,7 @@
 	fx.policy.RequestBodyBytes = 1 << 30
 	config := Config{
 		Admitter: fx, Budget: fx.timer, Dialect: testDialect{}, Log: zap.NewNop(), PrefetchBytes: 1 << 10, Router: fx, Shifter: fx,
-		Settings: shortRoute{fx}, Self: core.Host{Host: "a", Region: "r1", Zone: "z1"}, Timer: fx.timer,
+		Settings: shortRoute{routedFixture{fx, path == pathHedged}}, Self: core.Host{Host: "a", Region: "r1", Zone: "z1"}, Timer: fx.timer,
 	}
 	switch path {
 	case pathPeer:
@@ -130,7 +130,7 @@
 			return inRegion(request)
 		}
 	case pathHedged:
-		fx.policy.HedgeAfterMs = 5000
+		fx.policy.HedgeAfterMs = 10
 	case pathStreamed:
 		config.PrefetchBytes = 0
 	}
@@ -205,7 +205,7 @@
 		"before the last CR": func(head, body string) string { return head + strings.TrimSuffix(body, "\r\n") },
 		"after the body":     func(head, body string) string { return head + body },
 	}
-	for _, path := range []string{pathTarget, pathPeer, pathRegion, pathHedged, pathStreamed} {
+	for _, path := range []string{pathTarget, pathKept, pathPeer, pathRegion, pathHedged, pathStreamed} {
 		for _, framing := range []string{framedLength, framedChunked, framedClose} {
 			for _, end := range []string{endFIN, endReset, endOwn} {
 				for when, cut := range heads {
@@ -247,10 +247,18 @@
 		head, body := framedResponse(framing)
 		up := newScriptedUpstream(t, func(_ int64, c net.Conn) {
 			_ = readRequest(c)
+			if path == pathKept {
+				_, _ = io.WriteString(c, dialectResponse("1", wholeBody))
+				_ = readRequest(c)
+			}
 			_, _ = io.WriteString(c, cut(head, body))
 			endConnection(c, end)
 		})
-		got := exchangeOnce(t, wholeFixture(t, path, up.address), method)
+		address := wholeFixture(t, path, up.address)
+		if path == pathKept {
+			assert.Equal(t, exchangeOnce(t, address, http.MethodPost), resultWhole)
+		}
+		got := exchangeOnce(t, address, method)
 		if end == endOwn && want == resultFailure && got == "504 unknown" {
 			got = resultFailure
 		}
@@ -264,7 +272,7 @@
 }
 
 // TestEarlyResponsesDuringUploads guards against a response that an upstream breaks off while the request is still being uploaded, and that
-// reaches the caller as complete. Without a length it did so in some plays only, because either the write of the
+// reaches the caller as complete or as a fault of the caller. Without a length it did so in some plays only, because either the write of the
 // upload or the read of the response may see the reset, so that these rows are played many times.
 func TestEarlyResponsesDuringUploads(t *testing.T) {
 	part := strings.Repeat("x", 1000)
@@ -277,8 +285,11 @@
 		},
 	}
 	cuts := map[string]func(head, body string) string{
-		"before the body": func(head, _ string) string { return head },
-		"in the body":     func(head, body string) string { return head + body[:len(body)/2] },
+		"in the status line":  func(string, string) string { return "HTTP/1.1 200" },
+		"in the head":         func(head, _ string) string { return head[:len(head)-4] },
+		"after the last line": func(head, _ string) string { return head[:len(head)-1] },
+		"before the body":     func(head, _ string) string { return head },
+		"in the body":         func(head, body string) string { return head + body[:len(body)/2] },
 	}
 	for _, path := range []string{pathTarget, pathPeer, pathRegion, pathStreamed} {
 		for _, framing := range []string{framedLength, framedChunked, framedClose} {
