--- a/entry/proxy/exchange.go
+++ b/entry/proxy/exchange.go
@@ -127,7 +127,7 @@
 		return mayHaveRun(codes.BodyTooLarge, http.StatusRequestEntityTooLarge, "request body exceeds request_body_bytes")
 	case result.conn.leaseExpired:
 		return mayHaveRun(codes.LeaseExpired, http.StatusBadGateway, "the lease ended before the request was written")
-	case u != nil && u.err != nil && !u.stopped && !result.conn.writeFailed:
+	case u != nil && u.bodyFailed:
 		return mayHaveRun(codes.BadRequest, http.StatusBadRequest, "request body could not be read: "+u.err.Error())
 	}
 	if isTimeout(err) {
--- a/entry/proxy/upload.go
+++ b/entry/proxy/upload.go
@@ -2,6 +2,7 @@
 
 import (
 	"net/http"
+	"sync/atomic"
 	"time"
 
 	"ebonyrouter.dev/core"
@@ -12,18 +13,20 @@
 type upload struct {
 	err      error
 	finished chan struct{}
-	// stopped means that this host has ended the upload, so that its error is not the caller's.
-	stopped bool
-	writer  http.ResponseWriter
+	// bodyFailed means that the caller's body could not be read, before this host has stopped the upload.
+	bodyFailed bool
+	stopped    atomic.Bool
+	writer     http.ResponseWriter
 }
 
 func startUpload(c *conn, out *http.Request, w http.ResponseWriter) *upload {
 	u := &upload{finished: make(chan struct{}), writer: w}
 	go func() {
-		defer close(u.finished)
 		u.err = c.send(out)
-		if u.err != nil && !c.writeFailed {
-			// The caller's body could not be read, so the upstream has no complete request to respond to.
+		u.bodyFailed = u.err != nil && !c.writeFailed && !u.stopped.Load()
+		close(u.finished)
+		if u.bodyFailed {
+			// The upstream has no complete request to respond to.
 			_ = c.socket.Close()
 		}
 	}()
@@ -69,7 +72,7 @@
 	if u.ended() {
 		return u.err == nil
 	}
-	u.stopped = true
+	u.stopped.Store(true)
 	_ = c.socket.Close()
 	_ = http.NewResponseController(u.writer).SetReadDeadline(time.Unix(1, 0))
 	<-u.finished
