--- a/steer/audit/audit_test.go
+++ b/steer/audit/audit_test.go
@@ -51,6 +51,7 @@
 		"the history is gone":        {func(a *audit.Auditor) { a.Observe(0, 11, "h", nil) }, func(int64) (bool, int64, error) { return false, 0, core.ErrNotFound }, core.ErrNotFound, time.Second, 1, 10, audit.Alone},
 		"a stale check":              {func(a *audit.Auditor) { a.Observe(0, 12, "h", nil) }, staleFor(2), audit.ErrResponseLost, 3 * time.Second, 3, 11, audit.Alone},
 		"told by a relay":            {func(a *audit.Auditor) { a.Observe(0, 12, "h", nil); time.Sleep(2 * time.Second); tell(a, 8, 12) }, unchanged, nil, 0, 0, 12, audit.Member},
+		"told of more than is known": {func(a *audit.Auditor) { tell(a, 8, 20); a.Observe(0, 12, "h", nil) }, unchanged, nil, 0, 0, 20, audit.Member},
 		"told of later revisions":    {func(a *audit.Auditor) { a.Observe(0, 12, "h", nil); tell(a, 11, 12) }, unchanged, nil, 0, 1, 100, audit.Member},
 		"not told by a relay":        {func(a *audit.Auditor) { a.Observe(0, 11, "h", nil) }, func(int64) (bool, int64, error) { return true, 11, nil }, audit.ErrResponseLost, 2500 * time.Millisecond, 1, 10, audit.Member},
 		"a check that fails at once": {func(a *audit.Auditor) { a.Observe(0, 12, "h", nil) }, failing(1), audit.ErrResponseLost, 4 * time.Second, 2, 10, audit.Alone},
--- a/steer/audit/auditor.go
+++ b/steer/audit/auditor.go
@@ -71,7 +71,7 @@
 	var checked core.Instant
 	for {
 		newest, unchanged, changed := a.revisions.after(call.Era, complete, call.Kind)
-		if complete = unchanged; newest == complete {
+		if complete = unchanged; complete >= newest {
 			select {
 			case <-ctx.Done():
 				return complete, nil
