--- a/review/standin3/target.go
+++ b/review/standin3/target.go
@@ -17,9 +17,6 @@
 
 // target is a stand-in of a registered target that behaves well.
 type target struct {
-	// breakOff, if set, reports whether the answer to a request is to be broken off in its middle.
-	breakOff func(id string) bool
-
 	address  string
 	id       string
 	service  string
@@ -110,11 +107,6 @@
 	header.Set("Ebonyrouter-Response-Stamp", t.stamp(id))
 	header.Set("Ebonyrouter-Server-Load", t.load())
 	header.Set("Content-Length", strconv.Itoa(len(answer)))
-	if t.breakOff != nil && t.breakOff(id) {
-		t.log.printf("target %s (%s): breaks the answer to %s off", t.id, t.service, id)
-		_, _ = w.Write(answer[:len(answer)/2])
-		panic(http.ErrAbortHandler)
-	}
 	_, _ = w.Write(answer)
 }
 
