--- a/review/standin3/bed.go
+++ b/review/standin3/bed.go
@@ -44,7 +44,7 @@
 		return nil, err
 	}
 	b := &bed{
-		folder: folder, log: log, machine: machineOfMoosbrunner, network: freeNetwork(), store: newStore(log), storeAddress: listener.Addr().String(),
+		folder: folder, log: log, machine: smallestMachine, network: freeNetwork(), store: newStore(log), storeAddress: listener.Addr().String(),
 		zones: map[string]string{"nord-a": "muc-nord", "nord-b": "muc-nord"},
 	}
 	b.server = &http.Server{Handler: b.store}
--- a/review/standin3/case_registration.go
+++ b/review/standin3/case_registration.go
@@ -102,8 +102,8 @@
 	return counted{sent.Load(), served.Load()}
 }
 
-// callOnce is a new caller: it asks the directories which host to use, sends one request there, once more on a failure, and reports
-// whether it was served.
+// callOnce is a new caller: it asks the directories which host to use, and sends one request there. After a failure it tries again when the
+// refusals of the system ask for it, once as on the sheets, and reports whether it was served.
 func (b *bed) callOnce(name string) bool {
 	for range 2 {
 		for _, address := range b.resolve() {
@@ -111,7 +111,7 @@
 				return true
 			}
 		}
-		time.Sleep(200 * time.Millisecond)
+		time.Sleep(time.Second)
 	}
 	return false
 }
--- a/review/standin3/host.go
+++ b/review/standin3/host.go
@@ -19,11 +19,8 @@
 	fds      int
 }
 
-// Sizes of the smallest machines of two sites.
-var (
-	machineOfMoosbrunner  = machine{0.384, 408, 8192}
-	machineOfTableroGrown = machine{0.16, 184, 4100}
-)
+// smallestMachine is the size of the smallest machines of the site moosbrunner-wegweiser-grown.
+var smallestMachine = machine{0.384, 408, 8192}
 
 // restartDelay is the time after which the platform starts a process that has ended again.
 const restartDelay = 200 * time.Millisecond
--- a/review/standin3/main.go
+++ b/review/standin3/main.go
@@ -2,6 +2,8 @@
 
 import (
 	"fmt"
+	"io"
+	"log"
 	"os"
 	"path/filepath"
 	"time"
@@ -25,29 +27,31 @@
 		fmt.Fprintln(os.Stderr, "usage: standin3 CASE FOLDER")
 		os.Exit(exitNotRun)
 	}
+	// The client of net/http would write of answers that come before a request.
+	log.SetOutput(io.Discard)
 	os.Exit(run(os.Args[1], os.Args[2]))
 }
 
 // run runs a case and writes its record into a folder.
 func run(name, folder string) int {
-	log, err := newRecord(filepath.Join(folder, "record.txt"))
+	r, err := newRecord(filepath.Join(folder, "record.txt"))
 	if err != nil {
 		fmt.Fprintln(os.Stderr, err)
 		return exitNotRun
 	}
-	defer log.close()
+	defer r.close()
 	trouble := os.Getenv("TROUBLE") != "0"
-	log.printf("case %s, trouble %v", name, trouble)
-	b, err := newBed(log)
+	r.printf("case %s, trouble %v", name, trouble)
+	b, err := newBed(r)
 	if err != nil {
-		log.printf("not run: %v", err)
+		r.printf("not run: %v", err)
 		return exitNotRun
 	}
 	defer b.close()
 	time.AfterFunc(caseLimit, func() {
-		log.printf("not run: the case took longer than %v", caseLimit)
+		r.printf("not run: the case took longer than %v", caseLimit)
 		b.close()
-		log.close()
+		r.close()
 		os.Exit(exitNotRun)
 	})
 	broken, err := cases[name](b, trouble)
@@ -56,12 +60,12 @@
 	}
 	switch {
 	case err != nil:
-		log.printf("not run: %v", err)
+		r.printf("not run: %v", err)
 		return exitNotRun
 	case broken:
-		log.printf("result: the rule was broken")
+		r.printf("result: the rule was broken")
 		return exitBroken
 	}
-	log.printf("result: the rule held")
+	r.printf("result: the rule held")
 	return exitHeld
 }
--- a/review/standin3/settings.go
+++ b/review/standin3/settings.go
@@ -8,7 +8,6 @@
 	lookupHost  = "jepu9.example"
 	bookingPath = "/xapu221/ny95/"
 	lookupPath  = "/lepu270/"
-	secondPath  = "/rudo31/"
 )
 
 // Services and time limits of the deployment.
@@ -45,7 +44,6 @@
 func usualRoutes() []map[string]any {
 	return []map[string]any{
 		route("r-bookings", bookingHost, bookingPath, "unsafe", bookings), route("r-lookup", lookupHost, lookupPath, "safe", wegfinder),
-		route("r-second", lookupHost, secondPath, "safe", bookings),
 	}
 }
 
--- a/review/standin3/target.go
+++ b/review/standin3/target.go
@@ -50,11 +50,6 @@
 	t.log, t.born, t.busy, t.runs = log, time.Now().UnixMilli(), make(chan struct{}, t.slots), map[string]*targetRun{}
 	t.server = &http.Server{Handler: t, IdleTimeout: targetIdle}
 	go func() { _ = t.server.Serve(listener) }()
-	return t.register(s)
-}
-
-// register writes the entry of the target to the store.
-func (t *target) register(s *store) error {
 	return s.set("servers", t.id, t.entry(1))
 }
 
